Lay out the modules, shared types and the design

Cause: a new project needs one place for the words, the boundaries and the decisions before its parts are built side by side. Change: Maven modules, formatter and linter, identifiers, outcomes, the typed contract of the key-value service, the events and effects of an entry host, and docs/DESIGN.md. Conclusion: the build with formatter, linter and 3 tests passes.

--- /dev/null
+++ b/kumquatmill-common/src/main/kotlin/io/kumquatmill/common/fleet/HostAddress.kt
@@ -0,0 +1,12 @@
+package io.kumquatmill.common.fleet
+
+import kotlinx.serialization.Serializable
+
+/** IP number and TCP port of a listening socket. */
+@Serializable
+data class HostAddress(
+    val ip: String,
+    val port: Int,
+) {
+    override fun toString(): String = "$ip:$port"
+}
--- /dev/null
+++ b/kumquatmill-common/src/test/kotlin/io/kumquatmill/common/hash/RendezvousHashTest.kt
@@ -0,0 +1,34 @@
+package io.kumquatmill.common.hash
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotEquals
+
+class RendezvousHashTest {
+    private val hosts = (1..7).map { "host-$it" }
+
+    @Test
+    fun `the order does not depend on the order of the candidates`() {
+        val forwards = rendezvousOrder("workspace-1", hosts) { it }
+        val backwards = rendezvousOrder("workspace-1", hosts.reversed()) { it }
+        assertEquals(forwards, backwards)
+    }
+
+    @Test
+    fun `only keys of a removed candidate move`() {
+        val removed = "host-3"
+        val keys = (1..200).map { "key-$it" }
+        for (key in keys) {
+            val before = rendezvousOrder(key, hosts) { it }
+            val after = rendezvousOrder(key, hosts - removed) { it }
+            assertEquals(before - removed, after, "order of $key")
+        }
+    }
+
+    @Test
+    fun `keys spread over all candidates`() {
+        val winners = (1..700).map { rendezvousOrder("key-$it", hosts) { host -> host }.first() }.groupingBy { it }.eachCount()
+        assertEquals(hosts.toSet(), winners.keys)
+        assertNotEquals(0, winners.values.min(), "keys of the least loaded candidate: $winners")
+    }
+}
--- /dev/null
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/NodeStatus.kt
@@ -0,0 +1,34 @@
+package io.kumquatmill.node
+
+import io.kumquatmill.common.id.HostId
+import io.kumquatmill.common.id.Incarnation
+
+/** State of an entry host as operators see it. */
+data class NodeStatus(
+    val host: HostId,
+    val incarnation: Incarnation,
+    val lifecycle: Lifecycle,
+    val configurationRevision: Long,
+    val rosterEpoch: Long,
+    val hasStanding: Boolean,
+    val inFlightRequests: Int,
+    val queuedRequests: Int,
+    val shares: List<ShareStatus>,
+)
+
+/** Units of one limit that a host may use now, out of all units of the limit. */
+data class ShareStatus(
+    val limit: String,
+    val units: Long,
+    val totalUnits: Long,
+)
+
+/** Where an entry host is in its life. */
+enum class Lifecycle(
+    val wireName: String,
+) {
+    STARTING("starting"),
+    LIVE("live"),
+    DRAINING("draining"),
+    STOPPED("stopped"),
+}
--- /dev/null
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/effect/Decision.kt
@@ -0,0 +1,35 @@
+package io.kumquatmill.node.effect
+
+import io.kumquatmill.common.id.RegionId
+import io.kumquatmill.common.id.RequestId
+import io.kumquatmill.common.id.RouteId
+import io.kumquatmill.common.id.WorkerId
+import io.kumquatmill.common.id.WorkspaceId
+
+/** A routing or placement decision, as it is logged. */
+data class Decision(
+    val kind: DecisionKind,
+    val reason: String,
+    val request: RequestId? = null,
+    val workspace: WorkspaceId? = null,
+    val route: RouteId? = null,
+    val region: RegionId? = null,
+    val worker: WorkerId? = null,
+    val outcome: String? = null,
+)
+
+/** What a [Decision] is about. */
+enum class DecisionKind(
+    val wireName: String,
+) {
+    FORWARD("forward"),
+    RETRY("retry"),
+    QUEUE("queue"),
+    ANSWER("answer"),
+    REFUSE("refuse"),
+    CONFIGURATION("configuration"),
+    SHARE("share"),
+    MEMBERSHIP("membership"),
+    EJECT("eject"),
+    DRAIN("drain"),
+}
--- /dev/null
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/model/Worker.kt
@@ -0,0 +1,17 @@
+package io.kumquatmill.routing.model
+
+import io.kumquatmill.common.fleet.HostAddress
+import io.kumquatmill.common.id.AvailabilityZoneId
+import io.kumquatmill.common.id.RegionId
+import io.kumquatmill.common.id.UpstreamId
+import io.kumquatmill.common.id.WorkerId
+
+/** A process of an upstream; it serves at most [slots] requests at a time. */
+data class Worker(
+    val id: WorkerId,
+    val upstream: UpstreamId,
+    val region: RegionId,
+    val availabilityZone: AvailabilityZoneId,
+    val address: HostAddress,
+    val slots: Int,
+)
