--- /dev/null
+++ b/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/deployment/Deployment.kt
@@ -0,0 +1,27 @@
+package io.kumquatmill.scenario.deployment
+
+import io.kumquatmill.common.id.AvailabilityZoneId
+import io.kumquatmill.common.id.HostId
+import io.kumquatmill.common.id.RegionId
+import io.kumquatmill.routing.model.Topology
+import io.kumquatmill.scenario.virtual.NetworkDelays
+
+/** A deployment that scenarios run on: entry hosts, workers, links and delays. */
+data class Deployment(
+    val name: String,
+    val entryHosts: List<EntryHostPlace>,
+    val topology: Topology,
+    val storeRegion: RegionId,
+    val delays: NetworkDelays,
+) {
+    /** The regions of the deployment, in the order of its hosts. */
+    val regions: List<RegionId>
+        get() = entryHosts.map { it.region }.distinct()
+}
+
+/** Name and place of an entry host. */
+data class EntryHostPlace(
+    val host: HostId,
+    val region: RegionId,
+    val availabilityZone: AvailabilityZoneId,
+)
--- /dev/null
+++ b/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/invariant/LeavingWorkers.kt
@@ -0,0 +1,17 @@
+package io.kumquatmill.scenario.invariant
+
+import io.kumquatmill.scenario.history.Observation
+
+private const val NAME = "leaving-workers"
+
+/** A leaving worker gets no new work after the stated time. */
+fun leavingWorkers(bounds: InvariantBounds): Invariant =
+    Invariant(NAME) { history ->
+        val leavingAtMs = history.all<Observation.WorkerLeaving>().associate { it.worker to it.atMs }
+        history.all<Observation.AttemptArrived>().mapNotNull { arrival ->
+            val sinceMs = leavingAtMs[arrival.worker]?.let { arrival.atMs - it } ?: return@mapNotNull null
+            if (sinceMs <= bounds.leavingWorkerMs) return@mapNotNull null
+            val detail = "${arrival.worker} got ${arrival.request} $sinceMs ms after it began to leave"
+            Violation(NAME, arrival.atMs, "$detail, expected at most ${bounds.leavingWorkerMs} ms")
+        }
+    }
--- /dev/null
+++ b/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/script/ScenarioBuilder.kt
@@ -0,0 +1,93 @@
+package io.kumquatmill.scenario.script
+
+import io.kumquatmill.common.dsl.KumquatmillDsl
+import io.kumquatmill.configuration.model.OperatorLists
+import io.kumquatmill.scenario.deployment.Deployment
+import io.kumquatmill.scenario.deployment.batalik
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Describes a scenario: a deployment, the load on it, what happens when, and how long it runs.
+ *
+ * ```
+ * val result = scenario("a frozen host wakes after its standing lapsed") {
+ *     deployment = batalik()
+ *     load("pharmacy", region = "zapad", route = "status", ratePerS = 20.0)
+ *     at(10.seconds) { freeze("h1") }
+ *     at(20.seconds) { thaw("h1") }
+ *     lasts(40.seconds)
+ * }.run(seed = 7, nodeFactory)
+ * ```
+ */
+fun scenario(
+    name: String,
+    build: ScenarioBuilder.() -> Unit,
+): Scenario = ScenarioBuilder(name).apply(build).toScenario()
+
+/** Receiver of [scenario]. */
+@KumquatmillDsl
+class ScenarioBuilder internal constructor(
+    private val name: String,
+) {
+    /** Deployment that the scenario runs on. */
+    var deployment: Deployment = batalik()
+
+    /** The operators' lists at the start; by default each workspace has its own plan, twice as large as its load. */
+    var lists: OperatorLists? = null
+
+    /** Time before the load starts, in which the hosts join. */
+    var warmUp: Duration = DEFAULT_WARM_UP
+
+    private val loads = mutableListOf<CallerLoad>()
+    private val steps = mutableListOf<ScenarioStep>()
+    private var length: Duration = DEFAULT_LENGTH
+
+    /** Adds callers of [workspace], or of open routes when it is null. */
+    fun load(
+        workspace: String?,
+        region: String,
+        route: String,
+        ratePerS: Double,
+        isSteady: Boolean = false,
+        bodyBytes: Long = DEFAULT_BODY_BYTES,
+    ) {
+        loads += CallerLoad(workspace, region, route, ratePerS, isSteady, bodyBytes)
+    }
+
+    /** Does [action] at [time] after the load has started. */
+    fun at(
+        time: Duration,
+        action: ScenarioActions.() -> Unit,
+    ) {
+        steps += ScenarioStep(time.inWholeMilliseconds, action)
+    }
+
+    /** Ends the scenario at [time] after the load has started. */
+    fun lasts(time: Duration) {
+        length = time
+    }
+
+    internal fun toScenario(): Scenario =
+        Scenario(
+            name = name,
+            deployment = deployment,
+            lists = lists ?: listsFor(deployment, loads),
+            loads = loads.toList(),
+            steps = steps.toList(),
+            warmUpMs = warmUp.inWholeMilliseconds,
+            lengthMs = length.inWholeMilliseconds,
+        )
+
+    private companion object {
+        val DEFAULT_WARM_UP = 10.seconds
+        val DEFAULT_LENGTH = 30.seconds
+        const val DEFAULT_BODY_BYTES = 1_000L
+    }
+}
+
+/** Something that happens at [atMs] after the load has started. */
+class ScenarioStep internal constructor(
+    val atMs: Long,
+    val action: ScenarioActions.() -> Unit,
+)
--- /dev/null
+++ b/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/script/WorkspaceLists.kt
@@ -0,0 +1,56 @@
+package io.kumquatmill.scenario.script
+
+import io.kumquatmill.common.id.PlanId
+import io.kumquatmill.common.id.WorkspaceId
+import io.kumquatmill.configuration.model.Customer
+import io.kumquatmill.configuration.model.KeyHash
+import io.kumquatmill.configuration.model.OperatorLists
+import io.kumquatmill.configuration.model.Plan
+import io.kumquatmill.scenario.deployment.Deployment
+import io.kumquatmill.scenario.virtual.VirtualCaller
+
+private const val HEADROOM = 2.0
+
+/** Returns lists in which each workspace of [loads] has a plan of its own, twice as large as its load. */
+internal fun listsFor(
+    deployment: Deployment,
+    loads: List<CallerLoad>,
+): OperatorLists {
+    val ratePerSByWorkspace =
+        loads
+            .filter { it.workspace != null }
+            .groupBy { checkNotNull(it.workspace) }
+            .mapValues { (_, all) -> all.sumOf { it.ratePerS } * HEADROOM }
+    val routes =
+        deployment.topology.routes
+            .map { it.id }
+            .toSet()
+    return OperatorLists(
+        plans =
+            ratePerSByWorkspace.map { (workspace, ratePerS) ->
+                Plan(PlanId("plan-$workspace"), ratePerS, burst = ratePerS.toInt().coerceAtLeast(1), routes)
+            },
+        customers = ratePerSByWorkspace.keys.map(::customerOf),
+    )
+}
+
+/** Returns the customer of [workspace] on its own plan, with the key that its callers show. */
+fun customerOf(workspace: String): Customer =
+    Customer(WorkspaceId(workspace), PlanId("plan-$workspace"), setOf(KeyHash.of(VirtualCaller.keyOf(workspace))))
+
+/** Returns a plan of [workspace] that allows all routes of [deployment]. */
+fun planOf(
+    deployment: Deployment,
+    workspace: String,
+    ratePerS: Double,
+    burst: Int,
+): Plan =
+    Plan(
+        id = PlanId("plan-$workspace"),
+        ratePerS = ratePerS,
+        burst = burst,
+        routes =
+            deployment.topology.routes
+                .map { it.id }
+                .toSet(),
+    )
