Add the share ledger with anchors, buckets and slots

Cause: every limit over all hosts together needs one accounting that stays within the limit whatever a host knows or misses. Ruled out: a part of the burst on joining or on a plan set again, since a plan removed and set again quickly would then pass its burst twice. Change: token bucket, limits, the pure split of units over home hosts, and a ledger that takes only out of its own units while its host has standing.

--- /dev/null
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/RateMeter.kt
@@ -0,0 +1,127 @@
+package io.kumquatmill.limits.ledger
+
+import io.kumquatmill.limits.bucket.TokenBucket
+import kotlin.math.ceil
+import kotlin.math.max
+import kotlin.math.min
+
+/** Meter of a rate: a token bucket with the rate and burst that the host's units stand for. */
+internal class RateMeter(
+    override var spec: LimitSpec.Rate,
+    private val settings: LedgerSettings,
+    nowMs: Long,
+) : Meter {
+    private val bucket = TokenBucket(ratePerS = 0.0, capacity = 0.0, nowMs = nowMs)
+    private val demand = DemandRate(settings.demandWindowMs)
+    private var units = 0L
+
+    override val tailMs: Long
+        get() = 0
+
+    override val leastUsefulUnits: Long
+        get() = ceil(spec.totalUnits / guardedBurst()).toLong().coerceIn(1, spec.totalUnits)
+
+    override fun edit(
+        nowMs: Long,
+        spec: LimitSpec,
+    ) {
+        require(spec is LimitSpec.Rate) { "limit ${spec.id} can't change its kind: use another identifier" }
+        this.spec = spec
+        rescale(nowMs)
+    }
+
+    override fun advance(nowMs: Long) = bucket.refill(nowMs)
+
+    override fun skipTo(nowMs: Long) = bucket.skipTo(nowMs)
+
+    override fun resize(
+        nowMs: Long,
+        units: Long,
+    ) {
+        this.units = units
+        rescale(nowMs)
+    }
+
+    override fun tryTake(
+        nowMs: Long,
+        amount: Long,
+    ): Boolean {
+        demand.add(nowMs, amount)
+        return bucket.tryTake(nowMs, amount.toDouble())
+    }
+
+    override fun isAvailable(
+        nowMs: Long,
+        amount: Long,
+    ): Boolean = bucket.timeUntilAvailableMs(nowMs, amount.toDouble()) == 0L
+
+    override fun release(
+        nowMs: Long,
+        amount: Long,
+    ) = bucket.deposit(nowMs, amount.toDouble())
+
+    override fun charge(
+        nowMs: Long,
+        amount: Long,
+    ) {
+        demand.add(nowMs, amount)
+        bucket.charge(nowMs, amount.toDouble())
+    }
+
+    override fun retryAfterMs(
+        nowMs: Long,
+        amount: Long,
+    ): Long? = bucket.timeUntilAvailableMs(nowMs, amount.toDouble())
+
+    override fun movableUnits(): Long = if (bucket.level < 0.0) 0 else units
+
+    override fun withdraw(
+        nowMs: Long,
+        units: Long,
+    ): Double {
+        if (this.units == 0L) return 0.0
+        bucket.refill(nowMs)
+        return bucket.withdraw(nowMs, bucket.level * units / this.units)
+    }
+
+    override fun deposit(
+        nowMs: Long,
+        tokens: Double,
+    ) = bucket.deposit(nowMs, tokens)
+
+    override fun drain(nowMs: Long) = bucket.drain(nowMs)
+
+    override fun neededUnits(nowMs: Long): Long {
+        val lastDemandAtMs = demand.lastDemandAtMs ?: return 0
+        if (nowMs - lastDemandAtMs >= settings.idleReturnMs) return 0
+        val part = demand.ratePerS(nowMs) / spec.ratePerS * RATE_HEADROOM + BURST_PART
+        val units = ceil(min(part, 1.0) * spec.totalUnits).toLong()
+        return max(units, leastUsefulUnits)
+    }
+
+    override fun isIdle(): Boolean = bucket.level >= 0.0
+
+    private fun rescale(nowMs: Long) {
+        val part = units.toDouble() / spec.totalUnits
+        bucket.rescale(nowMs, spec.ratePerS * part, guardedBurst() * part)
+    }
+
+    private fun guardedBurst(): Double {
+        val guard = spec.ratePerS * settings.jitterGuardMs / MILLIS_PER_SECOND
+        val guarded = spec.burst - min(guard, spec.burst * MAX_GUARD_PART)
+        return max(guarded, min(spec.burst, 1.0))
+    }
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1000.0
+
+        /** Units asked for, relative to those that the average demand needs. */
+        const val RATE_HEADROOM = 1.25
+
+        /** Part of the limit asked for beside the average demand, for its bursts. */
+        const val BURST_PART = 0.25
+
+        /** Largest part of the burst that the jitter guard takes. */
+        const val MAX_GUARD_PART = 0.5
+    }
+}
