--- /dev/null
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/queue/FairQueue.kt
@@ -0,0 +1,167 @@
+package io.kumquatmill.routing.queue
+
+import io.kumquatmill.common.id.RequestId
+import io.kumquatmill.common.id.WorkspaceId
+import io.kumquatmill.common.outcome.Outcome
+import io.kumquatmill.common.outcome.RefusalReason
+import kotlin.math.ceil
+
+/**
+ * Bounded queue in which each workspace waits behind its own requests only.
+ *
+ * Workspaces take turns by weighted deficit round robin, so that those who ask for less than their share get all of it
+ * and the rest is split by weight. Requests that can't meet their deadline are refused at once, when they enter and
+ * later. Use one for each group of workers that share their slots. The cost of a call does not grow with the number of
+ * workspaces, and workspaces without waiting requests take no memory.
+ */
+class FairQueue(
+    private val settings: QueueSettings = QueueSettings(),
+) {
+    private val entries = HashMap<RequestId, QueueEntry>()
+    private val queues = HashMap<WorkspaceId, WorkspaceQueue>()
+    private val turns = ArrayDeque<WorkspaceQueue>()
+    private val wheel = DeadlineWheel()
+    private val pace = DispatchPace()
+    private var activeWeight = 0
+
+    /** Number of waiting requests. */
+    val size: Int
+        get() = entries.size
+
+    /** Number of workspaces held in memory. */
+    val workspaceCount: Int
+        get() = queues.size
+
+    /** Returns the number of waiting requests of [workspace]. */
+    fun sizeOf(workspace: WorkspaceId): Int = queues[workspace]?.size ?: 0
+
+    /** Queues [request], or refuses it when the queue is full or the request would miss its deadline. */
+    fun offer(
+        nowMs: Long,
+        request: QueuedRequest,
+    ): QueueOffer {
+        val waitMs = expectedWaitMs(nowMs, request)
+        if (nowMs + waitMs > request.latestStartAtMs) return refuse(RefusalReason.NO_CAPACITY, waitMs)
+        if (size >= settings.maxTotal || sizeOf(request.workspace) >= settings.maxPerWorkspace) {
+            return refuse(RefusalReason.QUEUE_FULL, waitMs)
+        }
+        if (entries.isEmpty()) pace.backlogStarted(nowMs)
+        enqueue(nowMs, QueueEntry(request))
+        return QueueOffer.Queued(waitMs)
+    }
+
+    /**
+     * Offers waiting requests to [tryDispatch] in their fair order until it returns false or none is left.
+     *
+     * A request for which it returns true has left the queue. Returns the requests that were given up instead.
+     */
+    fun dispatch(
+        nowMs: Long,
+        tryDispatch: (QueuedRequest) -> Boolean,
+    ): List<QueueRefusal> {
+        val refused = expire(nowMs)
+        var hasSlots = true
+        while (hasSlots && entries.isNotEmpty()) {
+            val entry = queueInTurn().head()
+            hasSlots = tryDispatch(entry.request)
+            if (hasSlots) settle(nowMs, entry)
+        }
+        return refused
+    }
+
+    /** Gives up the requests that can't meet their deadline any more; call it at each tick. */
+    fun expire(nowMs: Long): List<QueueRefusal> {
+        if (entries.isEmpty()) return emptyList()
+        var refused: MutableList<QueueRefusal>? = null
+        wheel.expire(nowMs) { entry ->
+            remove(entry)
+            val list = refused ?: ArrayList<QueueRefusal>().also { refused = it }
+            list += QueueRefusal(entry.request, Outcome.NotRun(RefusalReason.DEADLINE_EXCEEDED, settings.retryAfterMs))
+        }
+        return refused ?: emptyList()
+    }
+
+    /** Removes the request [id] and returns whether it was waiting. */
+    fun cancel(id: RequestId): Boolean {
+        val entry = entries[id] ?: return false
+        remove(entry)
+        return true
+    }
+
+    private fun expectedWaitMs(
+        nowMs: Long,
+        request: QueuedRequest,
+    ): Long {
+        if (entries.isEmpty()) return 0
+        val own = queues[request.workspace]
+        val ownSize = own?.size ?: 0
+        val othersWeight = activeWeight - (own?.weight ?: 0)
+        val turnsBefore = 1.0 + ownSize * (othersWeight + request.weight).toDouble() / request.weight
+        return ceil(turnsBefore * pace.expectedIntervalMs(nowMs)).toLong()
+    }
+
+    private fun refuse(
+        reason: RefusalReason,
+        waitMs: Long,
+    ): QueueOffer.Refused = QueueOffer.Refused(Outcome.NotRun(reason, maxOf(waitMs, settings.retryAfterMs)))
+
+    private fun enqueue(
+        nowMs: Long,
+        entry: QueueEntry,
+    ) {
+        val queue = queues.getOrPut(entry.request.workspace) { newQueue(entry.request) }
+        activeWeight -= queue.activeWeight()
+        queue.add(entry)
+        activeWeight += queue.activeWeight()
+        entries[entry.request.id] = entry
+        wheel.add(nowMs, entry)
+    }
+
+    private fun newQueue(request: QueuedRequest): WorkspaceQueue {
+        val queue = WorkspaceQueue(request.workspace)
+        queue.credit = request.weight.toDouble()
+        turns.addLast(queue)
+        return queue
+    }
+
+    private fun remove(entry: QueueEntry) {
+        val queue = queues.getValue(entry.request.workspace)
+        activeWeight -= queue.activeWeight()
+        queue.remove(entry)
+        activeWeight += queue.activeWeight()
+        entries.remove(entry.request.id)
+        wheel.remove(entry)
+        if (entries.isEmpty()) forgetQueues()
+    }
+
+    private fun settle(
+        nowMs: Long,
+        entry: QueueEntry,
+    ) {
+        queues.getValue(entry.request.workspace).credit -= entry.request.cost
+        remove(entry)
+        pace.dispatched(nowMs)
+    }
+
+    /** Returns the workspace whose turn it is; those whose turn is used up go to the end with a new one. */
+    private fun queueInTurn(): WorkspaceQueue {
+        while (true) {
+            val queue = turns.first()
+            if (!queue.isEmpty && queue.credit > 0.0) return queue
+            turns.removeFirst()
+            if (queue.isEmpty) {
+                queues.remove(queue.workspace)
+            } else {
+                queue.credit += queue.weight
+                turns.addLast(queue)
+            }
+        }
+    }
+
+    private fun forgetQueues() {
+        queues.clear()
+        turns.clear()
+    }
+
+    private fun WorkspaceQueue.activeWeight(): Int = if (isEmpty) 0 else weight
+}
--- /dev/null
+++ b/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/TestWorkers.kt
@@ -0,0 +1,32 @@
+package io.kumquatmill.routing
+
+import io.kumquatmill.common.fleet.HostAddress
+import io.kumquatmill.common.id.AvailabilityZoneId
+import io.kumquatmill.common.id.RegionId
+import io.kumquatmill.common.id.UpstreamId
+import io.kumquatmill.common.id.WorkerId
+import io.kumquatmill.routing.model.Worker
+
+val testUpstream = UpstreamId("status-service")
+val zapad = RegionId("zapad")
+val stred = RegionId("stred")
+val vychod = RegionId("vychod")
+
+fun testWorker(
+    number: Int,
+    region: RegionId = zapad,
+    slots: Int = 7,
+) = Worker(
+    WorkerId("worker-$number"),
+    testUpstream,
+    region,
+    AvailabilityZoneId("$region-${number % 2}"),
+    HostAddress("10.0.0.$number", 8080),
+    slots,
+)
+
+fun testWorkers(
+    count: Int,
+    region: RegionId = zapad,
+    slots: Int = 7,
+): List<Worker> = (1..count).map { testWorker(it, region, slots) }
--- /dev/null
+++ b/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/retry/RetryPolicyTest.kt
@@ -0,0 +1,120 @@
+package io.kumquatmill.routing.retry
+
+import io.kumquatmill.common.id.RequestId
+import io.kumquatmill.common.id.RouteId
+import io.kumquatmill.common.id.WorkerId
+import io.kumquatmill.common.id.WorkspaceId
+import io.kumquatmill.common.outcome.Outcome
+import io.kumquatmill.common.outcome.RefusalReason
+import io.kumquatmill.routing.model.Route
+import io.kumquatmill.routing.request.RequestState
+import io.kumquatmill.routing.testUpstream
+import io.kumquatmill.routing.zapad
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+class RetryPolicyTest {
+    private val notRun = Outcome.NotRun(RefusalReason.NO_CAPACITY, 250)
+    private val unknown = Outcome.Unknown(RefusalReason.UPSTREAM_FAILED, 0)
+    private val plenty = RetrySettings(maxAttempts = 5, reserve = 100.0)
+
+    @Test
+    fun `a request that may not be repeated never runs twice`() {
+        val runsTwice = (1..5_000).count { seed -> possibleRuns(seed, isIdempotent = false) > 1 }
+        assertEquals(0, runsTwice, "requests that may have run twice")
+    }
+
+    @Test
+    fun `without the rule for idempotent routes some requests run twice`() {
+        val runsTwice = (1..5_000).count { seed -> possibleRuns(seed, isIdempotent = true) > 1 }
+        assertTrue(runsTwice > 500, "requests that may have run twice: $runsTwice, expected many")
+    }
+
+    @Test
+    fun `a final refusal says not run only if no attempt may have run`() {
+        for (seed in 1..5_000) {
+            val (outcome, mayHaveRun) = run(seed, isIdempotent = true)
+            if (outcome is Outcome.NotRun) assertTrue(!mayHaveRun, "seed $seed: refused as not run after an unknown attempt")
+        }
+    }
+
+    @Test
+    fun `a retry leaves out the workers that were tried`() {
+        val state = request(isIdempotent = true).withAttempt(WorkerId("a")).withAttempt(WorkerId("b"))
+        assertEquals(RetryDecision.Retry(setOf(WorkerId("a"), WorkerId("b"))), policy(plenty).decide(0, state, zapad, unknown))
+    }
+
+    @Test
+    fun `a request that is given up says when to come back`() {
+        val state = request(isIdempotent = true).withAttempt(WorkerId("a"))
+        val late = policy(plenty).decide(990, state, zapad, unknown)
+        val broke = policy(RetrySettings(reserve = 0.0)).decide(0, state, zapad, notRun)
+        assertEquals(RetryDecision.Final(Outcome.Unknown(RefusalReason.UPSTREAM_FAILED, 1_000)), late)
+        assertEquals(RetryDecision.Final(notRun), broke)
+    }
+
+    @Test
+    fun `retries stay a bounded part of the requests of a workspace`() {
+        val budget = RetryBudget()
+        val policy = RetryPolicy(budget)
+        val retries =
+            (1..10_000).count {
+                budget.deposit(it.toLong(), workspace, zapad)
+                policy.decide(it.toLong(), request(false, it.toLong()).withAttempt(WorkerId("a")), zapad, notRun) is RetryDecision.Retry
+            }
+        assertTrue(retries in 990..1_010, "retries of 10000 requests: $retries, expected a tenth and the reserve")
+    }
+
+    @Test
+    fun `idle workspaces take no memory`() {
+        val budget = RetryBudget()
+        for (number in 1..100_000) budget.deposit(number * 100L, WorkspaceId("workspace-$number"), zapad)
+        assertTrue(budget.size <= 601, "budgets in memory: ${budget.size}, expected those of the last minute")
+    }
+
+    private fun possibleRuns(
+        seed: Int,
+        isIdempotent: Boolean,
+    ): Int {
+        var runs = 0
+        run(seed, isIdempotent) { if (it !is Outcome.NotRun) runs += 1 }
+        return runs
+    }
+
+    private fun run(
+        seed: Int,
+        isIdempotent: Boolean,
+        onAttempt: (Outcome) -> Unit = {},
+    ): Pair<Outcome, Boolean> {
+        val random = Random(seed)
+        val policy = policy(plenty)
+        var state = request(isIdempotent)
+        var nowMs = 0L
+        while (true) {
+            state = state.withAttempt(WorkerId("worker-${state.attempts}"))
+            nowMs += random.nextLong(300)
+            val outcome = listOf(notRun, unknown, notRun, Outcome.Answered(200)).random(random).also(onAttempt)
+            val decision = policy.decide(nowMs, state, zapad, outcome)
+            state = state.withOutcome(outcome)
+            if (decision is RetryDecision.Final) return decision.outcome to state.mayHaveRun
+            assertIs<RetryDecision.Retry>(decision)
+        }
+    }
+
+    private fun policy(settings: RetrySettings) = RetryPolicy(RetryBudget(settings), settings)
+
+    private fun request(
+        isIdempotent: Boolean,
+        nowMs: Long = 0,
+    ): RequestState {
+        val route = Route(RouteId("orders"), "/orders", setOf("POST"), testUpstream, isIdempotent)
+        return RequestState(RequestId("r"), workspace, route, nowMs, nowMs + 1_000)
+    }
+
+    private companion object {
+        val workspace = WorkspaceId("pharmacy")
+    }
+}
--- /dev/null
+++ b/kumquatmill-steering/src/main/kotlin/io/kumquatmill/steering/table/CallerRegions.kt
@@ -0,0 +1,6 @@
+package io.kumquatmill.steering.table
+
+import io.kumquatmill.common.id.RegionId
+
+/** Regions for the callers of one client block, the best first. */
+typealias CallerRegions = (clientIp: String) -> List<RegionId>
