Add the store client and the stand-ins for platform and workers

Cause: the daemon and the tests need a key-value service, a host list and workers with the faults that the users name, without third-party servers.

Change: StoreCall, StoreReply and StoreError are serializable; typed calls and call kinds as extensions. KeyValueStandin has no input or output, so tests under virtual time use the same class that PlatformStandinServer serves.

--- /dev/null
+++ b/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/LeaseExpiryTimer.kt
@@ -0,0 +1,30 @@
+package io.kumquatmill.standins.platform
+
+import io.kumquatmill.common.time.MonotonicClock
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+
+private const val INTERVAL_MS = 20L
+
+/** Lets leases lapse on time, also while no call arrives. */
+internal class LeaseExpiryTimer(
+    private val state: PlatformState,
+    private val clock: MonotonicClock,
+) : AutoCloseable {
+    private val executor =
+        Executors.newSingleThreadScheduledExecutor { task ->
+            Thread(task, "lease-expiry").apply { isDaemon = true }
+        }
+
+    init {
+        executor.scheduleAtFixedRate(::expire, INTERVAL_MS, INTERVAL_MS, TimeUnit.MILLISECONDS)
+    }
+
+    override fun close() {
+        executor.shutdownNow()
+    }
+
+    private fun expire() {
+        state.withStore { it.expireLeases(clock.nowMs()) }
+    }
+}
--- /dev/null
+++ b/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/PlatformRoutes.kt
@@ -0,0 +1,105 @@
+package io.kumquatmill.standins.platform
+
+import io.kumquatmill.common.id.HostId
+import io.kumquatmill.common.time.MonotonicClock
+import io.kumquatmill.platform.HostListWire
+import io.kumquatmill.standins.http.jsonResponse
+import io.kumquatmill.standins.http.standinJson
+import io.kumquatmill.store.HostListState
+import io.kumquatmill.store.LeaseId
+import org.http4k.core.HttpHandler
+import org.http4k.core.Method.DELETE
+import org.http4k.core.Method.GET
+import org.http4k.core.Method.POST
+import org.http4k.core.Method.PUT
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.http4k.routing.bind
+import org.http4k.routing.path
+import org.http4k.routing.routes
+
+/** Routes of the host list and of the control endpoints. */
+internal fun platformRoutes(
+    state: PlatformState,
+    clock: MonotonicClock,
+): HttpHandler =
+    routes(
+        HostListWire.PATH bind GET to { readHosts(state, clock) },
+        "/control/faults" bind GET to { jsonResponse(state.withStore { it.faults }) },
+        "/control/faults" bind PUT to { request -> putFaults(state, request) },
+        "/control/lose-answers/{count}" bind POST to { request -> loseAnswers(state, request) },
+        "/control/leases/{id}/expire" bind POST to { request -> expireLease(state, request) },
+        "/control/hosts/{host}/{state}" bind PUT to { request -> putHost(state, clock, request) },
+        "/control/hosts/{host}" bind DELETE to { request -> editHost(state, clock, request, listed = null) },
+        "/control/host-list-lag-ms/{lagMs}" bind PUT to { request -> putLag(state, request) },
+        "/control/counters" bind GET to { readCounters(state) },
+    )
+
+private fun readHosts(
+    state: PlatformState,
+    clock: MonotonicClock,
+): Response {
+    val entries = state.withHostList { it.read(clock.nowMs()) }
+    return Response(Status.OK).header("Content-Type", "application/json").body(HostListWire.encode(entries))
+}
+
+private fun putFaults(
+    state: PlatformState,
+    request: Request,
+): Response {
+    val faults = standinJson.decodeFromString<StoreFaults>(request.bodyString())
+    state.withStore { it.faults = faults }
+    return jsonResponse(faults)
+}
+
+private fun loseAnswers(
+    state: PlatformState,
+    request: Request,
+): Response {
+    val count = request.path("count")?.toIntOrNull() ?: return Response(Status.BAD_REQUEST)
+    state.withStore { it.loseNextAnswer(count) }
+    return Response(Status.NO_CONTENT)
+}
+
+private fun expireLease(
+    state: PlatformState,
+    request: Request,
+): Response {
+    val id = request.path("id")?.toLongOrNull() ?: return Response(Status.BAD_REQUEST)
+    state.withStore { it.expireLease(LeaseId(id)) }
+    return Response(Status.NO_CONTENT)
+}
+
+private fun putHost(
+    state: PlatformState,
+    clock: MonotonicClock,
+    request: Request,
+): Response {
+    val name = request.path("state").orEmpty()
+    val listed = HostListState.entries.find { it.name.equals(name, ignoreCase = true) }
+    return if (listed == null) Response(Status.BAD_REQUEST) else editHost(state, clock, request, listed)
+}
+
+private fun editHost(
+    state: PlatformState,
+    clock: MonotonicClock,
+    request: Request,
+    listed: HostListState?,
+): Response {
+    val host = HostId(request.path("host").orEmpty())
+    state.withHostList { it.edit(clock.nowMs(), host, listed) }
+    return Response(Status.NO_CONTENT)
+}
+
+private fun putLag(
+    state: PlatformState,
+    request: Request,
+): Response {
+    val lagMs = request.path("lagMs")?.toLongOrNull() ?: return Response(Status.BAD_REQUEST)
+    state.withHostList { it.lagMs = lagMs }
+    return Response(Status.NO_CONTENT)
+}
+
+private fun readCounters(state: PlatformState): Response =
+    jsonResponse(state.withStore { store -> store.callCounts.mapKeys { it.key.wireName } })
--- /dev/null
+++ b/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/PlatformStandinServer.kt
@@ -0,0 +1,43 @@
+package io.kumquatmill.standins.platform
+
+import io.kumquatmill.common.fleet.HostAddress
+import io.kumquatmill.common.time.MonotonicClock
+import io.kumquatmill.platform.StoreWire
+import io.kumquatmill.standins.http.StandinServer
+import io.undertow.server.handlers.BlockingHandler
+import io.undertow.server.handlers.PathHandler
+import org.http4k.server.Http4kUndertowHttpHandler
+
+private const val WORKER_THREADS = 600
+
+/**
+ * Serves a [KeyValueStandin] and a [HostListStandin] over HTTP.
+ *
+ * Paths: `POST /v1/store` executes a store call, `GET /v1/hosts` reads the host list, `/control/` edits faults and hosts.
+ * The state outlives [close], so a test may start another server over the same [state], also on the same port.
+ */
+class PlatformStandinServer(
+    val state: PlatformState = PlatformState(),
+    ip: String = "127.0.0.1",
+    port: Int = 0,
+    clock: MonotonicClock = MonotonicClock.system,
+) : AutoCloseable {
+    private val control = Http4kUndertowHttpHandler(platformRoutes(state, clock))
+    private val expiry = LeaseExpiryTimer(state, clock)
+    private val server =
+        StandinServer(
+            ip,
+            port,
+            WORKER_THREADS,
+            PathHandler(BlockingHandler(control)).addExactPath(StoreWire.PATH, BlockingHandler(StoreCallHandler(state, clock))),
+        )
+
+    /** Address on which the stand-in listens. */
+    val address: HostAddress
+        get() = server.address
+
+    override fun close() {
+        expiry.close()
+        server.close()
+    }
+}
--- /dev/null
+++ b/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/StoreCallHandler.kt
@@ -0,0 +1,82 @@
+package io.kumquatmill.standins.platform
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.kumquatmill.common.time.MonotonicClock
+import io.kumquatmill.platform.StoreWire
+import io.kumquatmill.standins.http.closeWithoutAnswer
+import io.kumquatmill.standins.http.neverAnswer
+import io.kumquatmill.store.StoreCall
+import io.kumquatmill.store.StoreError
+import io.kumquatmill.store.StoreReply
+import io.undertow.server.HttpHandler
+import io.undertow.server.HttpServerExchange
+import io.undertow.util.Headers
+
+private const val MAX_CALL_BYTES = 8 * KeyValueStandin.DEFAULT_MAX_VALUE_BYTES
+
+/** Answers `POST /v1/store`, with the faults of the store as they show on a connection. */
+internal class StoreCallHandler(
+    private val state: PlatformState,
+    private val clock: MonotonicClock,
+) : HttpHandler {
+    override fun handleRequest(exchange: HttpServerExchange) {
+        val body = exchange.inputStream.readNBytes(MAX_CALL_BYTES).decodeToString()
+        val call = StoreWire.decodeCall(body)
+        if (call == null) {
+            send(exchange, StoreError.Rejected("the body is not a store call").left())
+            return
+        }
+        Thread.sleep(state.withStore { it.faults.delayMs })
+        val result = execute(call)
+        if (isLost(result)) {
+            loseAnswer(exchange)
+        } else {
+            send(exchange, result)
+        }
+    }
+
+    private fun execute(call: StoreCall): Either<StoreError, StoreReply> {
+        val result = state.withStore { it.execute(clock.nowMs(), call) }
+        val reply = result.getOrNull()
+        return if (call is StoreCall.Watch && reply is StoreReply.Changes && reply.changes.isEmpty()) {
+            await(call)
+        } else {
+            result
+        }
+    }
+
+    private fun await(call: StoreCall.Watch): Either<StoreError, StoreReply> {
+        state.awaitStore(call.waitMs) { store -> store.isAtFault || store.changesAfter(call.prefix, call.afterRevision).isNotEmpty() }
+        return state.withStore { store ->
+            when {
+                store.faults.isDown -> StoreError.Unavailable("it went down").left()
+                store.faults.isSilent -> StoreError.Unknown("it does not answer").left()
+                else -> StoreReply.Changes(store.changesAfter(call.prefix, call.afterRevision), store.revision).right()
+            }
+        }
+    }
+
+    private fun isLost(result: Either<StoreError, StoreReply>): Boolean = result.leftOrNull() is StoreError.Unknown
+
+    private fun loseAnswer(exchange: HttpServerExchange) {
+        if (state.withStore { it.faults.isSilent }) {
+            exchange.neverAnswer()
+        } else {
+            exchange.closeWithoutAnswer()
+        }
+    }
+
+    private fun send(
+        exchange: HttpServerExchange,
+        result: Either<StoreError, StoreReply>,
+    ) {
+        exchange.statusCode = StoreWire.statusOf(result)
+        exchange.responseHeaders.put(Headers.CONTENT_TYPE, "application/json")
+        exchange.responseSender.send(StoreWire.encodeResult(result))
+    }
+}
+
+private val KeyValueStandin.isAtFault: Boolean
+    get() = faults.isDown || faults.isSilent
--- a/kumquatmill-store/src/main/kotlin/io/kumquatmill/store/StoreCall.kt
+++ b/kumquatmill-store/src/main/kotlin/io/kumquatmill/store/StoreCall.kt
@@ -1,13 +1,21 @@
 package io.kumquatmill.store
 
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
 /** One call of the platform's key-value service. */
+@Serializable
 sealed interface StoreCall {
     /** Reads the entry of [key]; answered by [StoreReply.Entry]. */
+    @Serializable
+    @SerialName("read")
     data class Read(
         val key: String,
     ) : StoreCall
 
     /** Reads all entries whose key starts with [prefix]; answered by [StoreReply.Entries]. */
+    @Serializable
+    @SerialName("read-prefix")
     data class ReadPrefix(
         val prefix: String,
     ) : StoreCall
@@ -17,6 +25,8 @@
      *
      * [NO_REVISION] expects that there is no entry. With a [lease], the entry vanishes when the lease lapses.
      */
+    @Serializable
+    @SerialName("compare-and-swap")
     data class CompareAndSwap(
         val key: String,
         val expectedRevision: Long,
@@ -25,17 +35,23 @@
     ) : StoreCall
 
     /** Deletes the entry of [key] if it still has [expectedRevision]; answered by [StoreReply.Written]. */
+    @Serializable
+    @SerialName("delete")
     data class Delete(
         val key: String,
         val expectedRevision: Long,
     ) : StoreCall
 
     /** Asks for a lease that lapses when it is not renewed for [ttlMs]; answered by [StoreReply.LeaseGranted]. */
+    @Serializable
+    @SerialName("grant-lease")
     data class GrantLease(
         val ttlMs: Long,
     ) : StoreCall
 
     /** Renews [lease]; answered by [StoreReply.LeaseRenewed] or [StoreError.LeaseGone]. */
+    @Serializable
+    @SerialName("renew-lease")
     data class RenewLease(
         val lease: LeaseId,
     ) : StoreCall
@@ -45,6 +61,8 @@
      *
      * An empty list of changes means that nothing changed while it waited.
      */
+    @Serializable
+    @SerialName("watch")
     data class Watch(
         val prefix: String,
         val afterRevision: Long,
--- /dev/null
+++ b/kumquatmill-store/src/main/kotlin/io/kumquatmill/store/StoreCallKind.kt
@@ -0,0 +1,28 @@
+package io.kumquatmill.store
+
+/** Kind of a [StoreCall], as it is counted in metrics. */
+enum class StoreCallKind(
+    val wireName: String,
+    val isWrite: Boolean,
+) {
+    READ("read", isWrite = false),
+    READ_PREFIX("read-prefix", isWrite = false),
+    COMPARE_AND_SWAP("compare-and-swap", isWrite = true),
+    DELETE("delete", isWrite = true),
+    GRANT_LEASE("grant-lease", isWrite = true),
+    RENEW_LEASE("renew-lease", isWrite = true),
+    WATCH("watch", isWrite = false),
+}
+
+/** Returns the kind of this call. */
+val StoreCall.kind: StoreCallKind
+    get() =
+        when (this) {
+            is StoreCall.Read -> StoreCallKind.READ
+            is StoreCall.ReadPrefix -> StoreCallKind.READ_PREFIX
+            is StoreCall.CompareAndSwap -> StoreCallKind.COMPARE_AND_SWAP
+            is StoreCall.Delete -> StoreCallKind.DELETE
+            is StoreCall.GrantLease -> StoreCallKind.GRANT_LEASE
+            is StoreCall.RenewLease -> StoreCallKind.RENEW_LEASE
+            is StoreCall.Watch -> StoreCallKind.WATCH
+        }
