Read and check the daemon's settings

INI files are checked by the project: ini4j passes over unknown and repeated keys without a word. All faults of a file and its included file are reported at once, one line each.

--- /dev/null
+++ b/kumquatmill-settings/src/main/kotlin/io/kumquatmill/settings/MetricsSettings.kt
@@ -0,0 +1,6 @@
+package io.kumquatmill.settings
+
+/** Whether the daemon shows its metrics to callers of `/metrics`. */
+data class MetricsSettings(
+    val isEnabled: Boolean,
+)
--- /dev/null
+++ b/kumquatmill-settings/src/main/kotlin/io/kumquatmill/settings/QueueSettings.kt
@@ -0,0 +1,9 @@
+package io.kumquatmill.settings
+
+/** Bounds of the queues of each workspace and of the rings between threads. */
+data class QueueSettings(
+    val maxPerWorkspace: Int,
+    val maxWaitMs: Long,
+    val ringCapacity: Int,
+    val peerRingCapacity: Int,
+)
--- /dev/null
+++ b/kumquatmill-settings/src/main/kotlin/io/kumquatmill/settings/SettingsError.kt
@@ -0,0 +1,20 @@
+package io.kumquatmill.settings
+
+import java.nio.file.Path
+
+/** One fault of a settings file; [message] is a single line that names the remedy. */
+data class SettingsError(
+    val file: Path,
+    val section: String,
+    val key: String?,
+    val found: String?,
+    val expected: String,
+    val remedy: String,
+) {
+    val message: String
+        get() = "$file: [$section]${keyText()}: ${foundText()}, expected $expected; $remedy"
+
+    private fun keyText(): String = key?.let { " $it" }.orEmpty()
+
+    private fun foundText(): String = found?.let { "found '$it'" } ?: "found nothing"
+}
--- /dev/null
+++ b/kumquatmill-settings/src/main/kotlin/io/kumquatmill/settings/section/Addresses.kt
@@ -0,0 +1,22 @@
+package io.kumquatmill.settings.section
+
+import io.kumquatmill.common.fleet.HostAddress
+
+private const val MAX_PORT = 65_535
+private const val MAX_OCTET = 255
+private const val OCTETS = 4
+private val ipv6Pattern = Regex("[0-9A-Fa-f:]+:[0-9A-Fa-f:.]*")
+
+/** Returns the address written as `IPv4:port` or `[IPv6]:port`, or null when it is not one. */
+internal fun String.toHostAddressOrNull(): HostAddress? {
+    val ip = substringBeforeLast(':', "").removeSurrounding("[", "]")
+    val port = substringAfterLast(':', "").toIntOrNull()
+    if (port == null || port !in 1..MAX_PORT) return null
+    val isIp = if (startsWith("[")) ipv6Pattern.matches(ip) else isIpv4(ip)
+    return if (isIp) HostAddress(ip, port) else null
+}
+
+private fun isIpv4(text: String): Boolean {
+    val octets = text.split('.')
+    return octets.size == OCTETS && octets.all { it.isNotEmpty() && it.all(Char::isDigit) && it.toInt() <= MAX_OCTET }
+}
--- /dev/null
+++ b/kumquatmill-settings/src/test/kotlin/io/kumquatmill/settings/SettingsLoaderTest.kt
@@ -0,0 +1,118 @@
+package io.kumquatmill.settings
+
+import io.kumquatmill.common.fleet.HostAddress
+import io.kumquatmill.common.id.RegionId
+import kotlin.io.path.writeText
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class SettingsLoaderTest {
+    @Test
+    fun `a file with only the required keys gets the defaults`() {
+        val settings = settingsOf(settingsFile(VALID_SETTINGS))
+
+        assertEquals(SettingsDefaults.MAX_BODY_BYTES, settings.limits.maxBodyBytes)
+        assertEquals(IsolationPolicy.REFUSE, settings.standing.isolationPolicy)
+        assertEquals(listOf(HostAddress("127.0.0.1", 2379), HostAddress("127.0.0.2", 2379)), settings.platform.storeAddresses)
+        assertEquals(
+            listOf(RegionId("west"), RegionId("east")),
+            settings.topology.workers
+                .map { it.region },
+        )
+    }
+
+    @Test
+    fun `an unknown key is named with the known ones`() {
+        val fault = faultsAfter("id = h1", "id = h1\nidd = h2").single()
+
+        assertTrue(fault.startsWith("[host] idd: found 'h2', expected one of the keys id, region,"), fault)
+    }
+
+    @Test
+    fun `a doubled key is named with both values`() {
+        assertEquals(
+            listOf("[host] id: found 'h1 and h2', expected one value; keep one of the lines"),
+            faultsAfter("id = h1", "id = h1\nid = h2"),
+        )
+    }
+
+    @Test
+    fun `a doubled section is a fault`() {
+        assertEquals(
+            listOf("[shift]: found 'shift 2 times', expected each section once; join the sections into one"),
+            faultsAfter("[shift]", "[shift]\nrequests-per-s = 1\n[shift]"),
+        )
+    }
+
+    @Test
+    fun `a missing key is named`() {
+        assertEquals(
+            listOf("[platform] host-list-address: found nothing, expected IP number:port; add the key"),
+            faultsAfter("host-list-address = 127.0.0.1:2380\n", ""),
+        )
+    }
+
+    @Test
+    fun `a host name is not an address`() {
+        val fault = faultsAfter("127.0.0.1:8081", "entry.example:8081").single()
+
+        assertEquals(
+            "[host] caller-address: found 'entry.example:8081', expected IP number:port; write the IP number, not a host name",
+            fault,
+        )
+    }
+
+    @Test
+    fun `a negative duration and a value out of range are faults`() {
+        val duration = faultsAfter("[shift]", "[shift]\ninterval-ms = -5").single()
+        val slots = faultsAfter("slots = 3", "slots = 0").single()
+
+        assertEquals("[shift] interval-ms: found '-5', expected a whole number from 1 to 3600000; set a value in the range", duration)
+        assertEquals("[upstream.orders] slots: found '0', expected a whole number from 1 to 100000; set a value in the range", slots)
+    }
+
+    @Test
+    fun `references to unknown zones upstreams and regions are faults`() {
+        assertTrue(faultsAfter("worker.o2 = east-1", "worker.o2 = east-9").single().contains("a zone of [availability-zones]"))
+        assertTrue(faultsAfter("upstream = orders", "upstream = order").single().contains("expected one of orders"))
+        assertTrue(faultsAfter("[link.west.east]", "[link.west.north]").single().contains("two regions"))
+        assertTrue(faultsAfter("region = west", "region = east").single().contains("a zone in region east"))
+    }
+
+    @Test
+    fun `two workers on one address are a fault`() {
+        val fault = faultsAfter("127.0.0.1:7002", "127.0.0.1:7001").single()
+
+        assertTrue(fault.contains("127.0.0.1:7001 for orders o1 and orders o2"), fault)
+    }
+
+    @Test
+    fun `all faults are reported at once, each on a line of its own`() {
+        val faults = faultsAfter("id = h1\nregion = west", "region = north\nspare = 1\nregion = west")
+
+        assertEquals(listOf("region", "id", "availability-zone", "spare"), faults.map { it.substringAfter("] ").substringBefore(":") })
+        assertTrue(faults.none { '\n' in it })
+    }
+
+    @Test
+    fun `an included file is checked with the file that includes it`() {
+        val (hostPart, sharedPart) = VALID_SETTINGS.split("[platform]")
+        val file = settingsFile("[include]\nfile = shared.ini\n$hostPart")
+        file.resolveSibling("shared.ini").writeText("[platform]\nextra = 1\n$sharedPart")
+
+        val fault = loadSettings(file).fold({ it.single() }, { error("no fault found") })
+
+        assertEquals(file.resolveSibling("shared.ini"), fault.file)
+        assertEquals("extra", fault.key)
+    }
+
+    @Test
+    fun `a missing file and an unreadable line are faults`() {
+        val missing = loadSettings(settingsFile("").resolveSibling("none.ini")).fold({ it.single().message }, { "" })
+        val unreadable = loadSettings(settingsFile("[host\nid = h1")).fold({ it.first().message }, { "" })
+
+        assertTrue(missing.endsWith("expected a readable file; check the path and its permissions"), missing)
+        assertTrue(unreadable.contains("expected lines of the form"), unreadable)
+    }
+}
