--- a/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/deployment/Deployments.kt
+++ b/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/deployment/Deployments.kt
@@ -18,6 +18,8 @@
 private const val ZONES_PER_REGION = 2
 private const val SERVICE_WORKERS = 28
 private const val INTAKE_WORKERS = 12
+private const val BATALIK_SERVICE_SLOTS = 7
+private const val ATLAS_SERVICE_SLOTS = 6
 private const val INTAKE_SLOTS = 3
 private const val WORKER_PORT = 8_080
 private const val URGENT_DEADLINE_MS = 3_000L
@@ -29,7 +31,11 @@
         regions = listOf("zapad", "stred", "vychod").map(::RegionId),
         delays = NetworkDelays(betweenZonesMs = 1, betweenRegionsMs = 35, toCallersMs = 8),
         linkMegabitsPerS = 280.0,
-        upstreams = listOf(UpstreamSize("status", SERVICE_WORKERS, 7), UpstreamSize("urgent", INTAKE_WORKERS, INTAKE_SLOTS)),
+        upstreams =
+            listOf(
+                UpstreamSize("status", SERVICE_WORKERS, BATALIK_SERVICE_SLOTS),
+                UpstreamSize("urgent", INTAKE_WORKERS, INTAKE_SLOTS),
+            ),
         routes =
             listOf(
                 idempotent("status", "status"),
@@ -46,7 +52,11 @@
         regions = listOf("casablanca", "fes", "marrakech").map(::RegionId),
         delays = NetworkDelays(betweenZonesMs = 2, betweenRegionsMs = 35, toCallersMs = 3),
         linkMegabitsPerS = 4_000.0,
-        upstreams = listOf(UpstreamSize("catalogue", SERVICE_WORKERS, 6), UpstreamSize("deposit", INTAKE_WORKERS, INTAKE_SLOTS)),
+        upstreams =
+            listOf(
+                UpstreamSize("catalogue", SERVICE_WORKERS, ATLAS_SERVICE_SLOTS),
+                UpstreamSize("deposit", INTAKE_WORKERS, INTAKE_SLOTS),
+            ),
         routes =
             listOf(
                 idempotent("catalogue", "catalogue"),
--- a/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/invariant/ConfigurationInForce.kt
+++ b/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/invariant/ConfigurationInForce.kt
@@ -12,7 +12,8 @@
  * [History.observations] hold [Observation.RevisionInForce] only for hosts that serve: a host that knows it is cut
  * off and refuses is not counted.
  */
-fun configurationInForce(bounds: InvariantBounds): Invariant = Invariant(NAME) { history -> reversions(history) + lateHosts(history, bounds) }
+fun configurationInForce(bounds: InvariantBounds): Invariant =
+    Invariant(NAME) { history -> reversions(history) + lateHosts(history, bounds) }
 
 private fun reversions(history: History): List<Violation> {
     val highest = HashMap<HostId, Long>()
--- a/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/invariant/OwnWorkspace.kt
+++ b/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/invariant/OwnWorkspace.kt
@@ -13,7 +13,10 @@
         val sent = history.all<Observation.RequestSent>().associateBy { it.request }
         history.all<Observation.AttemptArrived>().mapNotNull { arrival ->
             val request = sent.getValue(arrival.request)
-            val isOpen = history.topology.routes.first { it.id == request.route }.isOpen
+            val isOpen =
+                history.topology.routes
+                    .first { it.id == request.route }
+                    .isOpen
             val allowed = request.keyHash?.let { history.ownersOf(it, arrival.atMs, bounds) }.orEmpty()
             if (arrival.workspace in allowed || (isOpen && arrival.workspace == null)) return@mapNotNull null
             Violation(NAME, arrival.atMs, "${arrival.request} ran for ${arrival.workspace}, expected one of $allowed")
--- a/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/invariant/PlannedStops.kt
+++ b/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/invariant/PlannedStops.kt
@@ -8,7 +8,12 @@
 fun plannedStops(): Invariant =
     Invariant(NAME) { history ->
         val stopping = history.all<Observation.HostStopping>().map { it.host }.toSet()
-        val killed = history.all<Observation.HostEnded>().filter { it.wasKilled }.map { it.host }.toSet()
+        val killed =
+            history
+                .all<Observation.HostEnded>()
+                .filter { it.wasKilled }
+                .map { it.host }
+                .toSet()
         history
             .all<Observation.CallerDisconnected>()
             .filter { it.host in stopping && it.host !in killed }
--- a/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/invariant/RateWithinPlan.kt
+++ b/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/invariant/RateWithinPlan.kt
@@ -3,7 +3,6 @@
 import io.kumquatmill.common.id.WorkspaceId
 import io.kumquatmill.configuration.model.OperatorLists
 import io.kumquatmill.configuration.model.Plan
-import io.kumquatmill.scenario.history.History
 import io.kumquatmill.scenario.history.Observation
 
 private const val NAME = "rate-within-plan"
--- a/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/script/Scenario.kt
+++ b/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/script/Scenario.kt
@@ -1,6 +1,9 @@
 package io.kumquatmill.scenario.script
 
 import io.kumquatmill.common.id.HostId
+import io.kumquatmill.configuration.json.ListsDocument
+import io.kumquatmill.configuration.json.decodeDocument
+import io.kumquatmill.configuration.json.encodeDocument
 import io.kumquatmill.configuration.model.OperatorLists
 import io.kumquatmill.node.effect.Decision
 import io.kumquatmill.scenario.deployment.Deployment
@@ -13,7 +16,6 @@
 import io.kumquatmill.scenario.virtual.VirtualCaller
 import io.kumquatmill.scenario.virtual.VirtualWorld
 import io.kumquatmill.store.StoreCall
-import kotlinx.serialization.json.Json
 import kotlin.random.Random
 
 /** A script of what happens to a deployment under load; see [scenario]. */
@@ -51,8 +53,9 @@
             violations = history.violations(allInvariants(bounds)),
             warmUpMs = warmUpMs,
             peerMessageCount = world.peerMessageCount,
-            storeCallCount = world.store.service.callCounts.values
-                .sum(),
+            storeCallCount =
+                world.store.service.callCounts.values
+                    .sum(),
         )
     }
 
@@ -66,7 +69,7 @@
         }
 
     private fun storeLists(world: VirtualWorld) {
-        world.store.callAsOperator(StoreCall.CompareAndSwap(LISTS_KEY, StoreCall.NO_REVISION, encodeLists(lists)))
+        world.store.callAsOperator(StoreCall.CompareAndSwap(ListsDocument.KEY, StoreCall.NO_REVISION, encodeLists(lists)))
     }
 
     private fun scheduleSteps(
@@ -84,11 +87,7 @@
         steps.forEach { step -> world.time.at(warmUpMs + step.atMs) { step.action(actions) } }
     }
 
-    private fun encodeLists(lists: OperatorLists): String = Json.encodeToString(lists)
+    private fun encodeLists(lists: OperatorLists): String = encodeDocument(ListsDocument(lists.plans, lists.customers))
 
-    private fun decodeLists(text: String): OperatorLists = Json.decodeFromString(text)
-
-    private companion object {
-        const val LISTS_KEY = "config/lists"
-    }
+    private fun decodeLists(text: String): OperatorLists = decodeDocument(text).fold({ error(it.message) }, { it.lists })
 }
--- a/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/script/ScenarioActions.kt
+++ b/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/script/ScenarioActions.kt
@@ -4,6 +4,7 @@
 import io.kumquatmill.common.id.HostId
 import io.kumquatmill.common.id.RegionId
 import io.kumquatmill.common.id.WorkerId
+import io.kumquatmill.configuration.json.ListsDocument
 import io.kumquatmill.configuration.model.OperatorLists
 import io.kumquatmill.scenario.history.Observation
 import io.kumquatmill.scenario.virtual.NetworkFaults
@@ -103,10 +104,10 @@
 
     /** Edits the operators' lists; returns false if the key-value service did not accept the edit. */
     fun edit(change: OperatorLists.() -> OperatorLists): Boolean {
-        val read = world.store.callAsOperator(StoreCall.Read(LISTS_KEY)).getOrNull() as? StoreReply.Entry ?: return false
+        val read = world.store.callAsOperator(StoreCall.Read(ListsDocument.KEY)).getOrNull() as? StoreReply.Entry ?: return false
         val entry = read.entry ?: return false
         val edited = callers.decodeLists(entry.value).change()
-        val call = StoreCall.CompareAndSwap(LISTS_KEY, entry.revision, encodeLists(edited))
+        val call = StoreCall.CompareAndSwap(ListsDocument.KEY, entry.revision, encodeLists(edited))
         return world.store.callAsOperator(call).isRight()
     }
 
@@ -123,10 +124,6 @@
             world.store.service.faults
                 .change()
     }
-
-    private companion object {
-        const val LISTS_KEY = "config/lists"
-    }
 }
 
 /** What the actions of a scenario may do with the callers. */
--- a/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/virtual/VirtualCaller.kt
+++ b/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/virtual/VirtualCaller.kt
@@ -27,7 +27,9 @@
 
     private val region = RegionId(load.region)
     private val keyHash = load.workspace?.let { KeyHash.of(keyOf(it)) }
-    private val route = world.deployment.topology.routes.first { it.id.value == load.route }
+    private val route =
+        world.deployment.topology.routes
+            .first { it.id.value == load.route }
     private var knownHosts: List<HostId> = nearestFirst()
     private var cachedUntilMs = 0L
     private var requestCount = 0L
--- a/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/virtual/VirtualStore.kt
+++ b/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/virtual/VirtualStore.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import arrow.core.left
+import io.kumquatmill.configuration.json.ListsDocument
 import io.kumquatmill.configuration.model.OperatorLists
 import io.kumquatmill.scenario.history.Observation
 import io.kumquatmill.standins.platform.KeyValueStandin
@@ -61,7 +62,7 @@
         val result = executeAndObserve(call)
         val isWaiting = call is StoreCall.Watch && (result.getOrNull() as? StoreReply.Changes)?.changes?.isEmpty() == true
         if (isWaiting) {
-            waitingWatches += WaitingWatch(call as StoreCall.Watch, time.nowMs + call.waitMs, from, answer)
+            waitingWatches += WaitingWatch(call, time.nowMs + call.waitMs, from, answer)
         } else {
             network.connect(place, from) { answer(result) }
         }
@@ -71,8 +72,8 @@
         val revisionBefore = service.revision
         val result = service.execute(time.nowMs, call)
         service
-            .changesAfter(LISTS_KEY, revisionBefore)
-            .filter { it.key == LISTS_KEY }
+            .changesAfter(ListsDocument.KEY, revisionBefore)
+            .filter { it.key == ListsDocument.KEY }
             .forEach { change ->
                 change.value?.let { observe(Observation.ListsAccepted(time.nowMs, change.revision, decodeLists(it))) }
             }
@@ -102,7 +103,6 @@
     )
 
     private companion object {
-        const val LISTS_KEY = "config/lists"
         const val CALL_TIMEOUT_MS = 1_000L
         const val SCAN_INTERVAL_MS = 10L
     }
