Add the membership agent: lease, roster, standing, witnesses and freshness

An entry host joins by a leased record, learns the roster by one watch of all keys and renews its standing by the same watch: an answer counts from the time of its question. While the store is silent, a majority of the epoch's witnesses gives standing. Rosters change in two phases; any live member proposes or finishes a change, by rank.

Reading the roster itself at each renewal was ruled out: at 450 hosts it is some 27 KB, a watch that finds nothing new is a few bytes. Incarnations come from the store's revision, which no restarted host can fall behind.

--- /dev/null
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/MembershipEvent.kt
@@ -0,0 +1,34 @@
+package io.kumquatmill.membership
+
+import io.kumquatmill.common.fleet.RosterPhase
+import io.kumquatmill.common.id.Incarnation
+
+/** Something that operators should find in the log. */
+sealed interface MembershipEvent {
+    val message: String
+
+    /** A newer roster was taken. */
+    data class RosterTaken(
+        val epoch: Long,
+        val phase: RosterPhase,
+        val memberCount: Int,
+    ) : MembershipEvent {
+        override val message: String = "roster epoch $epoch is $phase with $memberCount members"
+    }
+
+    /** The host continues under a new incarnation, because it started or was evicted. */
+    data class IncarnationChanged(
+        val incarnation: Incarnation,
+    ) : MembershipEvent {
+        override val message: String = "continues as incarnation $incarnation"
+    }
+
+    /** A document in the store can not be read and is ignored. */
+    data class DocumentIgnored(
+        val key: String,
+        val revision: Long,
+    ) : MembershipEvent {
+        override val message: String =
+            "entry '$key' of revision $revision can not be decoded and is ignored: delete it or run one release on all hosts"
+    }
+}
--- /dev/null
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/fleet/KnownHosts.kt
@@ -0,0 +1,51 @@
+package io.kumquatmill.membership.fleet
+
+import io.kumquatmill.common.fleet.Member
+import io.kumquatmill.common.id.HostId
+import io.kumquatmill.membership.MembershipSettings
+import io.kumquatmill.membership.record.HostRecord
+import io.kumquatmill.membership.record.HostRecordState
+import io.kumquatmill.membership.store.StoreWatcher
+
+/** Joins roster, records and the platform's list into the states of all entry hosts. */
+internal class KnownHosts(
+    private val settings: MembershipSettings,
+    private val watcher: StoreWatcher,
+    private val hostList: HostListView,
+) {
+    fun list(
+        nowMs: Long,
+        members: List<Member>,
+    ): List<KnownHost> {
+        val records = watcher.view.records.mapValues { it.value.value }
+        val byHost = members.associateBy { it.host } + records.mapValues { it.value.member }
+        return byHost.values
+            .sortedBy { it.host }
+            .map { KnownHost(it, stateOf(nowMs, it.host, records[it.host])) }
+    }
+
+    private fun stateOf(
+        nowMs: Long,
+        host: HostId,
+        record: HostRecord?,
+    ): KnownHostState =
+        when {
+            isGone(nowMs, host, record) -> KnownHostState.GONE
+            record?.state == HostRecordState.LEAVING || hostList.isLeaving(host) -> KnownHostState.LEAVING
+            else -> KnownHostState.LIVE
+        }
+
+    private fun isGone(
+        nowMs: Long,
+        host: HostId,
+        record: HostRecord?,
+    ): Boolean {
+        if (watcher.isUp && record != null) return false
+        return hostList.isGone(nowMs, host) || (record == null && isStoreSettled(nowMs))
+    }
+
+    private fun isStoreSettled(nowMs: Long): Boolean {
+        val returnedMs = watcher.returnedMs ?: return false
+        return watcher.isUp && nowMs - returnedMs >= settings.storeReturnGraceMs
+    }
+}
--- /dev/null
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/roster/RosterCoordinator.kt
@@ -0,0 +1,239 @@
+package io.kumquatmill.membership.roster
+
+import arrow.core.Either
+import io.kumquatmill.common.fleet.RosterPhase
+import io.kumquatmill.common.hash.rendezvousOrder
+import io.kumquatmill.common.id.HostId
+import io.kumquatmill.common.id.Incarnation
+import io.kumquatmill.membership.MembershipSettings
+import io.kumquatmill.membership.OutputBuilder
+import io.kumquatmill.membership.fleet.HostListView
+import io.kumquatmill.membership.message.MembershipMessage
+import io.kumquatmill.membership.record.MembershipKeys
+import io.kumquatmill.membership.record.RosterDocument
+import io.kumquatmill.membership.record.Witness
+import io.kumquatmill.membership.record.decodeRoster
+import io.kumquatmill.membership.record.encodeRoster
+import io.kumquatmill.membership.record.majorityOf
+import io.kumquatmill.membership.standing.StandingTracker
+import io.kumquatmill.membership.store.StoreWatcher
+import io.kumquatmill.membership.store.Stored
+import io.kumquatmill.store.StoreCall
+import io.kumquatmill.store.StoreEntry
+import io.kumquatmill.store.StoreError
+import io.kumquatmill.store.StoreReply
+
+/**
+ * Proposes changes of the roster and settles prepared ones.
+ *
+ * Hosts take turns by rank: each waits a little longer than the one before it, so that usually one acts.
+ */
+internal class RosterCoordinator(
+    private val self: HostId,
+    private val settings: MembershipSettings,
+    private val watcher: StoreWatcher,
+    private val holder: RosterHolder,
+    private val hostList: HostListView,
+    private val tracker: StandingTracker,
+) {
+    private val view = watcher.view
+    private var differenceSinceMs: Long? = null
+    private var callOpenUntilMs = Long.MIN_VALUE
+    private var settlement: Settlement? = null
+
+    /** Whether a change is due, so that the witnesses have to be asked whether they can be reached. */
+    val needsWitnesses: Boolean
+        get() = differenceSinceMs != null
+
+    fun onTick(
+        nowMs: Long,
+        incarnation: Incarnation,
+        out: OutputBuilder,
+    ) {
+        if (!watcher.isUp) differenceSinceMs = null
+        if (!watcher.isUp || nowMs < callOpenUntilMs) return
+        val document = holder.document
+        when {
+            document == null -> found(nowMs, out)
+            document.phase == RosterPhase.PREPARED -> finish(nowMs, incarnation, document, out)
+            else -> change(nowMs, incarnation, document, out)
+        }
+    }
+
+    /** Notes that [witness] does not vouch for epochs below [epoch] any more. */
+    fun onAck(
+        witness: Witness,
+        epoch: Long,
+    ) {
+        settlement?.takeIf { it.epoch == epoch }?.onAck(witness)
+    }
+
+    /** Takes the result of a write or read of the roster; returns the roster that the store is now known to have. */
+    fun onReply(
+        nowMs: Long,
+        call: StoreCall,
+        result: Either<StoreError, StoreReply>,
+        out: OutputBuilder,
+    ): Stored<RosterDocument>? {
+        callOpenUntilMs = nowMs
+        return result.fold(
+            { error -> afterError(nowMs, error, call, out) },
+            { reply -> afterReply(call, reply) },
+        )
+    }
+
+    private fun afterError(
+        nowMs: Long,
+        error: StoreError,
+        call: StoreCall,
+        out: OutputBuilder,
+    ): Stored<RosterDocument>? {
+        callOpenUntilMs = nowMs + settings.rankDelayMs
+        if (error is StoreError.Conflict) return error.current?.toRoster()
+        if (error is StoreError.Unknown && call is StoreCall.CompareAndSwap) call(nowMs, StoreCall.Read(MembershipKeys.ROSTER), out)
+        return null
+    }
+
+    private fun afterReply(
+        call: StoreCall,
+        reply: StoreReply,
+    ): Stored<RosterDocument>? =
+        when {
+            reply is StoreReply.Entry -> reply.entry?.toRoster()
+            reply is StoreReply.Written && call is StoreCall.CompareAndSwap -> decodeRoster(call.value)?.let { Stored(it, reply.revision) }
+            else -> null
+        }
+
+    private fun StoreEntry.toRoster(): Stored<RosterDocument>? = decodeRoster(value)?.let { Stored(it, revision) }
+
+    private fun found(
+        nowMs: Long,
+        out: OutputBuilder,
+    ) {
+        val members = plannedMembers(emptyList(), view.records) { true }
+        if (view.rosterRevision != StoreCall.NO_REVISION || members.isEmpty()) return
+        if (isTurn(nowMs)) write(nowMs, firstRoster(members, settings.witnessCount), out)
+    }
+
+    private fun change(
+        nowMs: Long,
+        incarnation: Incarnation,
+        document: RosterDocument,
+        out: OutputBuilder,
+    ) {
+        settlement = null
+        val planned = plannedMembers(document.members, view.records) { isEvictable(nowMs, it) }
+        val isDue = planned.isNotEmpty() && (planned != document.members || isRosterMissing())
+        if (!isDue) {
+            differenceSinceMs = null
+        } else if (isTurn(nowMs) && reachesWitnesses(nowMs, incarnation, document)) {
+            differenceSinceMs = null
+            write(nowMs, document.prepared(planned, self, settings.witnessCount), out)
+        }
+    }
+
+    private fun finish(
+        nowMs: Long,
+        incarnation: Incarnation,
+        document: RosterDocument,
+        out: OutputBuilder,
+    ) {
+        differenceSinceMs = null
+        val progress = settlementOf(nowMs, document)
+        if (nowMs - progress.startedMs < finishDelayMs(document)) return
+        val isSilenced = { witness: Witness -> isSilenced(nowMs, incarnation, witness) }
+        progress.check(nowMs, isSilenced)
+        progress
+            .dueNotices(nowMs, settings.notifyIntervalMs, isSilenced)
+            .forEach { out.send(it.host, MembershipMessage.RosterNotice(document.epoch)) }
+        val confirmedMs = progress.confirmedMs ?: return
+        if (nowMs - confirmedMs >= settings.settleWaitMs) write(nowMs, document.settled(), out)
+    }
+
+    private fun settlementOf(
+        nowMs: Long,
+        document: RosterDocument,
+    ): Settlement {
+        val current = settlement
+        if (current != null && current.epoch == document.epoch) return current
+        return Settlement(document.epoch, nowMs, document.previousWitnesses).also { settlement = it }
+    }
+
+    private fun finishDelayMs(document: RosterDocument): Long = if (document.proposer == self) 0 else settings.finishDelayMs + rankDelayMs()
+
+    /** Returns whether [witness] is known not to vouch for the epoch before: it is this host, gone, or has a newer incarnation. */
+    private fun isSilenced(
+        nowMs: Long,
+        incarnation: Incarnation,
+        witness: Witness,
+    ): Boolean = isSelf(witness, incarnation) || isReplaced(witness) || hostList.isGone(nowMs, witness.host)
+
+    private fun isSelf(
+        witness: Witness,
+        incarnation: Incarnation,
+    ): Boolean = witness.host == self && witness.incarnation <= incarnation
+
+    private fun isReplaced(witness: Witness): Boolean {
+        val record = view.records[witness.host]?.value ?: return false
+        return record.member.incarnation > witness.incarnation
+    }
+
+    /** Returns whether a change can be settled, so that one that can not is not begun. */
+    private fun reachesWitnesses(
+        nowMs: Long,
+        incarnation: Incarnation,
+        document: RosterDocument,
+    ): Boolean {
+        val vouched = tracker.vouchedSince(nowMs - settings.standingMs)
+        val count = document.witnesses.count { it in vouched || isSilenced(nowMs, incarnation, it) }
+        return count >= majorityOf(document.witnesses.size)
+    }
+
+    private fun isEvictable(
+        nowMs: Long,
+        host: HostId,
+    ): Boolean {
+        val returnedMs = watcher.returnedMs ?: return false
+        val absentSinceMs = view.recordAbsentSinceMs(host) ?: returnedMs
+        val isStoreSettled = nowMs - returnedMs >= settings.storeReturnGraceMs
+        return nowMs - absentSinceMs >= settings.evictionDelayMs && (isStoreSettled || hostList.isGone(nowMs, host))
+    }
+
+    private fun isRosterMissing(): Boolean {
+        val stored = holder.stored ?: return false
+        return view.rosterRevision == StoreCall.NO_REVISION && view.revision >= stored.revision
+    }
+
+    private fun isTurn(nowMs: Long): Boolean {
+        val sinceMs = differenceSinceMs ?: nowMs.also { differenceSinceMs = it }
+        return nowMs - sinceMs >= settings.changeDelayMs + rankDelayMs()
+    }
+
+    private fun rankDelayMs(): Long {
+        val members =
+            view.records.values
+                .map { it.value.member }
+                .filter { holder.isMember(it.host, it.incarnation) }
+        val candidates = members.ifEmpty { view.records.values.map { it.value.member } }.map { it.host }
+        val rank = rendezvousOrder("roster-${holder.version.epoch}", candidates) { it.value }.indexOf(self)
+        return if (rank < 0) settings.maxRankDelayMs else minOf(rank * settings.rankDelayMs, settings.maxRankDelayMs)
+    }
+
+    private fun write(
+        nowMs: Long,
+        document: RosterDocument,
+        out: OutputBuilder,
+    ) {
+        val expected = if (isRosterMissing()) StoreCall.NO_REVISION else holder.stored?.revision ?: StoreCall.NO_REVISION
+        call(nowMs, StoreCall.CompareAndSwap(MembershipKeys.ROSTER, expected, encodeRoster(document)), out)
+    }
+
+    private fun call(
+        nowMs: Long,
+        call: StoreCall,
+        out: OutputBuilder,
+    ) {
+        callOpenUntilMs = nowMs + settings.storeCallTimeoutMs
+        out.call(call)
+    }
+}
--- /dev/null
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/standing/PeerInquiry.kt
@@ -0,0 +1,85 @@
+package io.kumquatmill.membership.standing
+
+import io.kumquatmill.common.fleet.Member
+import io.kumquatmill.common.id.HostId
+import io.kumquatmill.membership.HostDescription
+import io.kumquatmill.membership.MembershipSettings
+import io.kumquatmill.membership.OutputBuilder
+import io.kumquatmill.membership.message.MembershipMessage
+import io.kumquatmill.membership.roster.RosterHolder
+import kotlin.random.Random
+
+/**
+ * Asks peers what they know, once in each renew period: a few at random, and the witnesses when they are needed.
+ *
+ * While the store is silent it also asks a member of the store's region, for word of the configuration.
+ */
+internal class PeerInquiry(
+    private val description: HostDescription,
+    private val settings: MembershipSettings,
+    private val holder: RosterHolder,
+    private val random: Random,
+) {
+    private val questions = QuestionLog()
+    private var nextRoundMs = Long.MIN_VALUE
+    private var lastRoundAskedWitnesses = false
+
+    /** Makes the next round due at once. */
+    fun askSoon() {
+        nextRoundMs = Long.MIN_VALUE
+    }
+
+    /** Returns when the question of [nonce] was sent, or null if this host did not ask it. */
+    fun sentAtMs(nonce: Long): Long? = questions.sentAtMs(nonce)
+
+    fun onTick(
+        nowMs: Long,
+        needsWitnesses: Boolean,
+        isStoreSilent: Boolean,
+        configurationRevision: Long,
+        out: OutputBuilder,
+    ) {
+        val isDue = nowMs >= nextRoundMs || (needsWitnesses && !lastRoundAskedWitnesses)
+        if (!isDue) return
+        nextRoundMs = nowMs + settings.renewPeriodMs(holder.members.size)
+        lastRoundAskedWitnesses = needsWitnesses
+        val targets = targets(needsWitnesses, isStoreSilent)
+        if (targets.isEmpty()) return
+        val nonce = random.nextLong()
+        questions.add(nonce, nowMs)
+        val request = MembershipMessage.StandingRequest(nonce, holder.version.epoch, configurationRevision)
+        targets.forEach { out.send(it, request) }
+    }
+
+    private fun targets(
+        needsWitnesses: Boolean,
+        isStoreSilent: Boolean,
+    ): Set<HostId> {
+        val members = holder.members
+        val targets = mutableSetOf<HostId>()
+        if (needsWitnesses) {
+            targets +=
+                holder.document
+                    ?.witnesses
+                    .orEmpty()
+                    .map { it.host }
+        }
+        if (isStoreSilent) targets += randomHosts(members.filter { it.region == settings.storeRegion }, 1)
+        targets += if (members.isEmpty()) settings.seedHosts else randomHosts(members, settings.gossipFanOut)
+        return targets - description.host
+    }
+
+    private fun randomHosts(
+        members: List<Member>,
+        count: Int,
+    ): Set<HostId> {
+        val others = members.size - members.count { it.host == description.host }
+        val wanted = minOf(count, others)
+        val picked = mutableSetOf<HostId>()
+        while (picked.size < wanted) {
+            val host = members.random(random).host
+            if (host != description.host) picked += host
+        }
+        return picked
+    }
+}
--- /dev/null
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/store/StoreView.kt
@@ -0,0 +1,100 @@
+package io.kumquatmill.membership.store
+
+import io.kumquatmill.common.id.HostId
+import io.kumquatmill.membership.record.HostRecord
+import io.kumquatmill.membership.record.MembershipKeys
+import io.kumquatmill.membership.record.RosterDocument
+import io.kumquatmill.membership.record.decodeHostRecord
+import io.kumquatmill.membership.record.decodeRoster
+import io.kumquatmill.store.StoreCall
+import io.kumquatmill.store.StoreChange
+import io.kumquatmill.store.StoreEntry
+
+/** A document of the store with the revision of its last write. */
+internal data class Stored<out T>(
+    val value: T,
+    val revision: Long,
+)
+
+/** State of the store as of [revision], as far as membership needs it. */
+internal class StoreView {
+    private val recordsByHost = mutableMapOf<HostId, Stored<HostRecord>>()
+    private val absentSince = mutableMapOf<HostId, Long>()
+
+    var revision: Long = StoreCall.NO_REVISION
+        private set
+
+    /** Revision of the entry `roster`, also when it can not be decoded. */
+    var rosterRevision: Long = StoreCall.NO_REVISION
+        private set
+
+    var roster: Stored<RosterDocument>? = null
+        private set
+
+    val records: Map<HostId, Stored<HostRecord>>
+        get() = recordsByHost
+
+    /** Returns since when [host] has had no record, or null if it has one or never had. */
+    fun recordAbsentSinceMs(host: HostId): Long? = absentSince[host]
+
+    /** Replaces everything by [entries] as of [atRevision] and returns those that are new as changes. */
+    fun replace(
+        nowMs: Long,
+        entries: List<StoreEntry>,
+        atRevision: Long,
+    ): List<StoreChange> {
+        if (atRevision < revision) return emptyList()
+        val keys = entries.mapTo(mutableSetOf()) { it.key }
+        val vanished = knownKeys().filterNot { it in keys }
+        val changes =
+            vanished.map { StoreChange(it, null, atRevision) } +
+                entries.filter { it.revision > revision }.map { StoreChange(it.key, it.value, it.revision) }
+        return apply(nowMs, changes, atRevision)
+    }
+
+    private fun knownKeys(): List<String> =
+        recordsByHost.keys.map(MembershipKeys::host) +
+            listOf(MembershipKeys.ROSTER).filter { rosterRevision != StoreCall.NO_REVISION }
+
+    /** Applies those of [changes] that are new and returns them. */
+    fun apply(
+        nowMs: Long,
+        changes: List<StoreChange>,
+        upToRevision: Long,
+    ): List<StoreChange> {
+        val newChanges = changes.filter { it.revision > revision }
+        newChanges.forEach { applyChange(nowMs, it) }
+        revision = maxOf(revision, upToRevision)
+        return newChanges
+    }
+
+    private fun applyChange(
+        nowMs: Long,
+        change: StoreChange,
+    ) {
+        when {
+            change.key == MembershipKeys.ROSTER -> applyRoster(change)
+            change.key.startsWith(MembershipKeys.HOST_PREFIX) -> applyRecord(nowMs, change)
+        }
+    }
+
+    private fun applyRoster(change: StoreChange) {
+        rosterRevision = if (change.value == null) StoreCall.NO_REVISION else change.revision
+        roster = change.value?.let(::decodeRoster)?.let { Stored(it, change.revision) }
+    }
+
+    private fun applyRecord(
+        nowMs: Long,
+        change: StoreChange,
+    ) {
+        val host = HostId(change.key.removePrefix(MembershipKeys.HOST_PREFIX))
+        val record = change.value?.let(::decodeHostRecord)
+        if (record == null) {
+            recordsByHost.remove(host)
+            absentSince[host] = nowMs
+        } else {
+            recordsByHost[host] = Stored(record, change.revision)
+            absentSince.remove(host)
+        }
+    }
+}
--- /dev/null
+++ b/kumquatmill-membership/src/test/kotlin/io/kumquatmill/membership/fake/FakeFleet.kt
@@ -0,0 +1,172 @@
+package io.kumquatmill.membership.fake
+
+import arrow.core.left
+import io.kumquatmill.common.fleet.HostAddress
+import io.kumquatmill.common.id.AvailabilityZoneId
+import io.kumquatmill.common.id.HostId
+import io.kumquatmill.common.id.RegionId
+import io.kumquatmill.membership.HostDescription
+import io.kumquatmill.membership.MembershipSettings
+import io.kumquatmill.store.HostListEntry
+import io.kumquatmill.store.HostListState
+import io.kumquatmill.store.StoreCall
+import io.kumquatmill.store.StoreError
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+internal val zapad = RegionId("zapad")
+internal val stred = RegionId("stred")
+internal val vychod = RegionId("vychod")
+
+/** Entry hosts, store and network in virtual time; everything random comes from [seed]. */
+internal class FakeFleet(
+    seed: Int,
+    size: Int = 7,
+    val settings: MembershipSettings = MembershipSettings(storeRegion = zapad, seedHosts = seedHosts(size)),
+    private val options: FleetOptions = FleetOptions(),
+) {
+    val random = Random(seed)
+    val store = FakeStore()
+    val faults = FleetFaults()
+    val counts = TrafficCounts()
+    val hosts: List<FakeHost> = (0 until size).map { FakeHost(this, describe(it)) }
+    private val hostsById = hosts.associateBy { it.id }
+    private val queue = PriorityQueue<Scheduled>(compareBy({ it.atMs }, { it.order }))
+    val invariants = FleetInvariants(this)
+    private var order = 0L
+    var nowMs = 0L
+        private set
+
+    init {
+        every(options.tickMs) { invariants.check() }
+        every(HOST_LIST_INTERVAL_MS) { sendHostList() }
+        every(options.tickMs) { store.takeUnless { faults.isStoreDown }?.onTick(nowMs) }
+    }
+
+    fun host(id: HostId): FakeHost = hostsById.getValue(id)
+
+    /** Runs [action] after [delayMs]. */
+    fun schedule(
+        delayMs: Long,
+        action: () -> Unit,
+    ) {
+        queue += Scheduled(nowMs + delayMs, order++, action)
+    }
+
+    /** Runs [action] now and then each [intervalMs]. */
+    fun every(
+        intervalMs: Long,
+        action: () -> Unit,
+    ) {
+        schedule(intervalMs) {
+            action()
+            every(intervalMs, action)
+        }
+    }
+
+    /** Lets [durationMs] pass. */
+    fun run(durationMs: Long) {
+        val endMs = nowMs + durationMs
+        while (queue.peek().atMs <= endMs) {
+            val next = queue.poll()
+            nowMs = next.atMs
+            next.action()
+        }
+        nowMs = endMs
+    }
+
+    /** Starts all hosts and waits until all are members. */
+    fun start(): FakeFleet {
+        hosts.forEach { host -> schedule(random.nextLong(START_SPREAD_MS)) { host.start() } }
+        run(START_MS)
+        return this
+    }
+
+    /** Carries [call] of [host] to the store and its answer back, unless something goes wrong on the way. */
+    fun callStore(
+        host: FakeHost,
+        call: StoreCall,
+        answer: (StoreResult) -> Unit,
+    ) {
+        counts.onStoreCall(call)
+        val delayMs = latencyMs(host.region, settings.storeRegion) + faults.storeDelayMs
+        if (!canReachStore(host)) {
+            schedule(delayMs) { answer(StoreError.Unavailable("no connection").left()) }
+        } else {
+            schedule(delayMs) { arriveAtStore(host, call, answer) }
+        }
+    }
+
+    private fun arriveAtStore(
+        host: FakeHost,
+        call: StoreCall,
+        answer: (StoreResult) -> Unit,
+    ) {
+        if (!canReachStore(host)) return loseAnswer(answer)
+        store.execute(nowMs, call) { result ->
+            val isLost = random.nextDouble() < faults.lostStoreAnswers || !canReachStore(host)
+            if (isLost) loseAnswer(answer) else schedule(latencyMs(host.region, settings.storeRegion)) { answer(result) }
+        }
+    }
+
+    private fun loseAnswer(answer: (StoreResult) -> Unit) =
+        schedule(LOST_ANSWER_TIMEOUT_MS) { answer(StoreError.Unknown("no answer").left()) }
+
+    private fun canReachStore(host: FakeHost): Boolean =
+        !faults.isStoreDown && host.id !in faults.hostsWithoutStore && !faults.isCut(host.region, settings.storeRegion)
+
+    /** Carries a message from [from] to [to], unless it is lost. */
+    fun send(
+        from: FakeHost,
+        to: HostId,
+        sizeBytes: Int,
+        deliver: (FakeHost) -> Unit,
+    ) {
+        counts.onMessage(from.id, to, sizeBytes)
+        val target = hostsById[to] ?: return
+        if (faults.isCut(from.region, target.region) || random.nextDouble() < faults.lostMessages) return
+        schedule(latencyMs(from.region, target.region)) { deliver(target) }
+    }
+
+    private fun latencyMs(
+        one: RegionId,
+        other: RegionId,
+    ): Long = if (one == other) 1 else OTHER_REGION_MS + random.nextLong(options.jitterMs + 1)
+
+    private fun sendHostList() {
+        val entries = hosts.filter { it.isRunning }.map { HostListEntry(it.id, HostListState.LIVE) }
+        schedule(options.hostListLagMs) { hosts.forEach { it.onHostList(entries) } }
+    }
+
+    private fun describe(index: Int): HostDescription {
+        val region = listOf(zapad, stred, vychod)[index % 3]
+        val ip = "10.0.${index / 200}.${index % 200}"
+        return HostDescription(hostId(index), region, AvailabilityZoneId("$region-1"), HostAddress(ip, 8080), HostAddress(ip, 9090))
+    }
+
+    private companion object {
+        const val HOST_LIST_INTERVAL_MS = 1_000L
+        const val OTHER_REGION_MS = 17L
+        const val LOST_ANSWER_TIMEOUT_MS = 1_000L
+        const val START_SPREAD_MS = 200L
+        const val START_MS = 15_000L
+    }
+}
+
+/** Granularity and delays of a [FakeFleet]. */
+internal data class FleetOptions(
+    val tickMs: Long = 50,
+    val jitterMs: Long = 5,
+    val hostListLagMs: Long = 8_000,
+    val forgetsEpochs: Boolean = false,
+)
+
+internal fun hostId(index: Int) = HostId("entry-$index")
+
+internal fun seedHosts(size: Int): Set<HostId> = (0 until minOf(size, 3)).mapTo(mutableSetOf(), ::hostId)
+
+private class Scheduled(
+    val atMs: Long,
+    val order: Long,
+    val action: () -> Unit,
+)
--- /dev/null
+++ b/kumquatmill-membership/src/test/kotlin/io/kumquatmill/membership/fake/FleetFaults.kt
@@ -0,0 +1,23 @@
+package io.kumquatmill.membership.fake
+
+import io.kumquatmill.common.id.HostId
+import io.kumquatmill.common.id.RegionId
+
+/** What goes wrong between hosts and at the store; tests change it while the fleet runs. */
+internal class FleetFaults {
+    var isStoreDown = false
+    var storeDelayMs = 0L
+    var lostStoreAnswers = 0.0
+    var lostMessages = 0.0
+
+    /** Regions that neither send nor receive across their border. */
+    val cutRegions = mutableSetOf<RegionId>()
+
+    /** Hosts that can not reach the store. */
+    val hostsWithoutStore = mutableSetOf<HostId>()
+
+    fun isCut(
+        one: RegionId,
+        other: RegionId,
+    ): Boolean = one != other && (one in cutRegions || other in cutRegions)
+}
