Test the store client and each fault of the stand-ins

Cause: faults without a test of their own can't carry the tests built on them.

Change: silent connections are now a matter of the shared server, so the platform stand-in has them too.

--- a/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/worker/ConnectionNumbers.kt
+++ b/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/http/ConnectionNumbers.kt
@@ -1,8 +1,8 @@
-package io.kumquatmill.standins.worker
+package io.kumquatmill.standins.http
 
 import java.util.concurrent.atomic.AtomicLong
 
-/** Numbers the connections of a worker, so that those before a fault can be told from later ones. */
+/** Numbers the connections of a server, so that those before a fault can be told from later ones. */
 internal class ConnectionNumbers {
     private val last = AtomicLong()
 
--- a/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/PlatformRoutes.kt
+++ b/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/PlatformRoutes.kt
@@ -29,6 +29,7 @@
         "/control/faults" bind GET to { jsonResponse(state.withStore { it.faults }) },
         "/control/faults" bind PUT to { request -> putFaults(state, request) },
         "/control/lose-answers/{count}" bind POST to { request -> loseAnswers(state, request) },
+        "/control/silence" bind POST to { silence(state) },
         "/control/leases/{id}/expire" bind POST to { request -> expireLease(state, request) },
         "/control/hosts/{host}/{state}" bind PUT to { request -> putHost(state, clock, request) },
         "/control/hosts/{host}" bind DELETE to { request -> editHost(state, clock, request, listed = null) },
@@ -62,6 +63,11 @@
     return Response(Status.NO_CONTENT)
 }
 
+private fun silence(state: PlatformState): Response {
+    state.silenceConnections()
+    return Response(Status.NO_CONTENT)
+}
+
 private fun expireLease(
     state: PlatformState,
     request: Request,
--- a/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/PlatformStandinServer.kt
+++ b/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/PlatformStandinServer.kt
@@ -29,6 +29,7 @@
             ip,
             port,
             WORKER_THREADS,
+            state.connections,
             PathHandler(BlockingHandler(control)).addExactPath(StoreWire.PATH, BlockingHandler(StoreCallHandler(state, clock))),
         )
 
--- a/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/PlatformState.kt
+++ b/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/PlatformState.kt
@@ -1,5 +1,6 @@
 package io.kumquatmill.standins.platform
 
+import io.kumquatmill.standins.http.ConnectionNumbers
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
@@ -11,6 +12,10 @@
 ) {
     private val lock = ReentrantLock()
     private val changed = lock.newCondition()
+    internal val connections = ConnectionNumbers()
+
+    /** Makes all connections that have carried a request so far silent for good. */
+    fun silenceConnections() = connections.silence()
 
     /** Runs [block] alone on the store, and wakes waiting watches. */
     fun <T> withStore(block: (KeyValueStandin) -> T): T =
--- a/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/worker/WorkerRequestHandler.kt
+++ b/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/worker/WorkerRequestHandler.kt
@@ -79,7 +79,7 @@
         exchange: HttpServerExchange,
         answer: WorkerAnswer,
     ) {
-        Thread.sleep(state.takeAnswerDelayMs())
+        holdBack(exchange, state.takeAnswerDelayMs())
         val previous = previousAnswer.getAndSet(answer)
         when (state.takeAnswerFault()) {
             AnswerFault.LOST -> exchange.closeWithoutAnswer()
@@ -89,6 +89,16 @@
         }
     }
 
+    private fun holdBack(
+        exchange: HttpServerExchange,
+        delayMs: Long,
+    ) {
+        val endsAtMs = clock.nowMs() + delayMs
+        while (clock.nowMs() < endsAtMs && !exchange.isClosedByClient()) {
+            Thread.sleep(POLL_INTERVAL_MS)
+        }
+    }
+
     private fun send(
         exchange: HttpServerExchange,
         answer: WorkerAnswer,
--- a/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/worker/WorkerStandinServer.kt
+++ b/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/worker/WorkerStandinServer.kt
@@ -2,18 +2,16 @@
 
 import io.kumquatmill.common.fleet.HostAddress
 import io.kumquatmill.common.time.MonotonicClock
+import io.kumquatmill.standins.http.CONTROL_PREFIX
 import io.kumquatmill.standins.http.StandinServer
 import io.kumquatmill.standins.http.neverAnswer
 import io.undertow.server.HttpHandler
 import io.undertow.server.HttpServerExchange
 import io.undertow.server.handlers.BlockingHandler
-import io.undertow.util.AttachmentKey
 import org.http4k.server.Http4kUndertowHttpHandler
 
 private const val SPARE_THREADS = 64
-private const val CONTROL_PREFIX = "/control/"
 private const val LOAD_PATH = "/load"
-private val connectionNumberKey: AttachmentKey<Long> = AttachmentKey.create(Long::class.javaObjectType)
 
 /**
  * One worker of an upstream as a stand-in, over HTTP.
@@ -34,7 +32,7 @@
 
     private val api = BlockingHandler(Http4kUndertowHttpHandler(workerRoutes(state)))
     private val requests = BlockingHandler(WorkerRequestHandler(state, clock))
-    private val server = StandinServer(ip, port, settings.slots + SPARE_THREADS, HttpHandler(::route))
+    private val server = StandinServer(ip, port, settings.slots + SPARE_THREADS, state.connections, HttpHandler(::route))
 
     /** Address on which the worker listens. */
     val address: HostAddress
@@ -44,31 +42,11 @@
 
     private fun route(exchange: HttpServerExchange) {
         when {
-            isSilent(exchange) -> exchange.neverAnswer()
+            exchange.requestPath == LOAD_PATH && state.faults.load.isSilent -> exchange.neverAnswer()
             isApi(exchange.requestPath) -> api.handleRequest(exchange)
             else -> requests.handleRequest(exchange)
         }
     }
 
     private fun isApi(path: String): Boolean = path == LOAD_PATH || path.startsWith(CONTROL_PREFIX)
-
-    private fun isSilent(exchange: HttpServerExchange): Boolean {
-        val path = exchange.requestPath
-        if (path.startsWith(CONTROL_PREFIX)) {
-            return false
-        }
-        val number = numberOf(exchange)
-        return state.isSilent(number) || (path == LOAD_PATH && state.faults.load.isSilent)
-    }
-
-    private fun numberOf(exchange: HttpServerExchange): Long {
-        val connection = exchange.connection
-        val known = connection.getAttachment(connectionNumberKey)
-        if (known != null) {
-            return known
-        }
-        val number = state.numberConnection()
-        connection.putAttachment(connectionNumberKey, number)
-        return number
-    }
 }
--- a/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/worker/WorkerState.kt
+++ b/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/worker/WorkerState.kt
@@ -1,6 +1,7 @@
 package io.kumquatmill.standins.worker
 
 import io.kumquatmill.common.time.MonotonicClock
+import io.kumquatmill.standins.http.ConnectionNumbers
 
 /** State of one worker stand-in: slots, lifecycle and faults, safe for use by several threads. */
 class WorkerState(
@@ -10,8 +11,8 @@
     private val clock: MonotonicClock,
 ) {
     private val serviceTime = ServiceTime(settings, clock.nowMs())
+    internal val connections = ConnectionNumbers()
     private val loadReports = LoadReports()
-    private val connections = ConnectionNumbers()
     private var busySlots = 0
 
     /** Faults in force. */
@@ -44,12 +45,6 @@
     /** Returns the load as the load endpoint reports it. */
     internal fun reportedLoad(): WorkerLoad = loadReports.report(clock.nowMs(), faults.load)
 
-    /** Returns the number of a connection that carries its first request. */
-    internal fun numberConnection(): Long = connections.next()
-
-    /** Returns whether the connection with [number] has gone silent. */
-    internal fun isSilent(number: Long): Boolean = connections.isSilent(number)
-
     /** Takes a slot if one is free and the worker stays. */
     @Synchronized
     internal fun tryTakeSlot(): Boolean {
--- /dev/null
+++ b/kumquatmill-standins/src/test/kotlin/io/kumquatmill/platform/HttpStoreClientTest.kt
@@ -0,0 +1,173 @@
+package io.kumquatmill.platform
+
+import io.kumquatmill.common.fleet.HostAddress
+import io.kumquatmill.standins.platform.PlatformStandinServer
+import io.kumquatmill.standins.platform.StoreFaults
+import io.kumquatmill.store.StoreError
+import io.kumquatmill.store.compareAndSwap
+import io.kumquatmill.store.delete
+import io.kumquatmill.store.grantLease
+import io.kumquatmill.store.read
+import io.kumquatmill.store.readPrefix
+import io.kumquatmill.store.renewLease
+import io.kumquatmill.store.watch
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.TimeUnit
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+
+class HttpStoreClientTest {
+    private val standin = PlatformStandinServer()
+    private val measurements = CopyOnWriteArrayList<PlatformCallMeasurement>()
+    private val client = clientOf(standin.address)
+
+    private fun clientOf(vararg addresses: HostAddress): HttpStoreClient {
+        val settings =
+            platformSettings {
+                addresses.forEach(::address)
+                callTimeoutMs = 400
+            }
+        return HttpStoreClient(settings, observe = { measurements += it })
+    }
+
+    @AfterTest
+    fun close() {
+        client.close()
+        standin.close()
+    }
+
+    @Test
+    fun `calls are executed and their results typed`() {
+        val lease = client.grantLease(60_000).getOrNull()!!.lease
+        assertEquals(1, client.compareAndSwap("a/1", 0, "x", lease).getOrNull()?.revision)
+        assertIs<StoreError.Conflict>(client.compareAndSwap("a/1", 0, "y").leftOrNull())
+        assertEquals(
+            "x",
+            client
+                .read("a/1")
+                .getOrNull()
+                ?.entry
+                ?.value,
+        )
+        assertEquals(
+            listOf("a/1"),
+            client
+                .readPrefix("a/")
+                .getOrNull()
+                ?.entries
+                ?.map { it.key },
+        )
+        assertEquals(true, client.renewLease(lease).isRight())
+        assertEquals(2, client.delete("a/1", 1).getOrNull()?.revision)
+        assertEquals(
+            listOf("x", null),
+            client
+                .watch("a/", 0, 100)
+                .getOrNull()
+                ?.changes
+                ?.map { it.value },
+        )
+    }
+
+    @Test
+    fun `a watch is answered as soon as a key changes`() {
+        val watch = CompletableFuture.supplyAsync { client.watch("a/", 0, 20_000) }
+        client.compareAndSwap("b", 0, "other")
+        client.compareAndSwap("a/1", 0, "x")
+        val changes = watch.get(10, TimeUnit.SECONDS).getOrNull()?.changes
+        assertEquals(listOf("a/1"), changes?.map { it.key })
+    }
+
+    @Test
+    fun `a refused connection proves that nothing was written`() {
+        val address = standin.address
+        standin.close()
+        assertIs<StoreError.Unavailable>(clientOf(address).compareAndSwap("a", 0, "x").leftOrNull())
+    }
+
+    @Test
+    fun `the next address is tried when the first can't be reached`() {
+        val closed = PlatformStandinServer().apply { close() }
+        val both = clientOf(closed.address, standin.address)
+        assertEquals(1, both.compareAndSwap("a", 0, "x").getOrNull()?.revision)
+    }
+
+    @Test
+    fun `a lost answer leaves the outcome unknown and is not asked for again`() {
+        standin.state.withStore { it.loseNextAnswer() }
+        assertIs<StoreError.Unknown>(client.compareAndSwap("a", 0, "x").leftOrNull())
+        assertEquals(1, standin.state.withStore { it.callCounts.values.sum() })
+        assertEquals(
+            "x",
+            client
+                .read("a")
+                .getOrNull()
+                ?.entry
+                ?.value,
+        )
+    }
+
+    @Test
+    fun `a silent service leaves the outcome unknown at the timeout`() {
+        standin.state.withStore { it.faults = StoreFaults(isSilent = true) }
+        assertIs<StoreError.Unknown>(client.compareAndSwap("a", 0, "x").leftOrNull())
+    }
+
+    @Test
+    fun `a service that is down is unavailable, also to a waiting watch`() {
+        val watch = CompletableFuture.supplyAsync { client.watch("a/", 0, 20_000) }
+        awaitWatch()
+        standin.state.withStore { it.faults = StoreFaults(isDown = true) }
+        assertIs<StoreError.Unavailable>(watch.get(10, TimeUnit.SECONDS).leftOrNull())
+        assertIs<StoreError.Unavailable>(client.compareAndSwap("a", 0, "x").leftOrNull())
+    }
+
+    @Test
+    fun `a slow write may take effect after the client has given up`() {
+        standin.state.withStore { it.faults = StoreFaults(delayMs = 600) }
+        assertIs<StoreError.Unknown>(client.compareAndSwap("a", 0, "x").leftOrNull())
+        standin.state.withStore { it.faults = StoreFaults() }
+        assertEquals(
+            listOf("x"),
+            client
+                .watch("a", 0, 5_000)
+                .getOrNull()
+                ?.changes
+                ?.map { it.value },
+        )
+    }
+
+    @Test
+    fun `after a connection went silent the next call uses a new one`() {
+        client.compareAndSwap("a", 0, "x")
+        standin.state.silenceConnections()
+        assertIs<StoreError.Unknown>(client.read("a").leftOrNull())
+        assertEquals(
+            "x",
+            client
+                .read("a")
+                .getOrNull()
+                ?.entry
+                ?.value,
+        )
+    }
+
+    @Test
+    fun `each call is measured with its kind and outcome`() {
+        client.read("a")
+        client.compareAndSwap("a", 7, "x")
+        assertEquals(
+            listOf("read" to "done", "compare-and-swap" to "conflict"),
+            measurements.map { it.call to it.outcome },
+        )
+    }
+
+    private fun awaitWatch() {
+        while (standin.state.withStore { it.callCounts.isEmpty() }) {
+            Thread.onSpinWait()
+        }
+    }
+}
--- /dev/null
+++ b/kumquatmill-standins/src/test/kotlin/io/kumquatmill/standins/worker/WorkerStandinServerTest.kt
@@ -0,0 +1,188 @@
+package io.kumquatmill.standins.worker
+
+import io.kumquatmill.common.http.HeaderNames
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import okhttp3.Response
+import java.io.IOException
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
+import kotlin.test.assertTrue
+
+private const val CALL_TIMEOUT_MS = 2_000L
+
+class WorkerStandinServerTest {
+    private val runLog = RunLog()
+    private val headerLog = HeaderLog()
+    private val server =
+        WorkerStandinServer(
+            workerSettings {
+                slots = 1
+                serviceMs = 1.0
+            },
+            runLog,
+            headerLog,
+        )
+    private val state = server.state
+    private val client =
+        OkHttpClient
+            .Builder()
+            .retryOnConnectionFailure(false)
+            .callTimeout(CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+            .build()
+
+    @AfterTest
+    fun close() {
+        client.connectionPool.evictAll()
+        server.close()
+    }
+
+    private fun request(
+        id: String,
+        vararg headers: Pair<String, String>,
+        path: String = "/orders",
+    ): Request {
+        val builder = Request.Builder().url("http://${server.address}$path").header(HeaderNames.REQUEST_ID, id)
+        headers.forEach { (name, value) -> builder.header(name, value) }
+        return builder.build()
+    }
+
+    private fun send(
+        id: String,
+        vararg headers: Pair<String, String>,
+    ): Response = client.newCall(request(id, *headers)).execute().also { it.body.string() }
+
+    private fun endOf(id: String): RunEnd = runLog.arrivals().single { it.requestId == id }.end
+
+    private fun awaitBusy() {
+        while (state.load().busySlots == 0) {
+            Thread.onSpinWait()
+        }
+    }
+
+    private fun awaitIdle() {
+        while (state.load().busySlots > 0) {
+            Thread.onSpinWait()
+        }
+    }
+
+    private fun slowDown() {
+        state.faults = WorkerFaults(serviceFactor = 1e6)
+    }
+
+    @Test
+    fun `an answer repeats the request id and the run is logged`() {
+        val response = send("r1", HeaderNames.WORKSPACE to "clinic")
+        assertEquals(200, response.code)
+        assertEquals("r1", response.header(HeaderNames.REQUEST_ID))
+        assertEquals(listOf(1), runLog.runs("clinic").map { it.runs })
+        assertEquals(RunEnd.DONE, endOf("r1"))
+    }
+
+    @Test
+    fun `a request above the slots is shed as not run`() {
+        slowDown()
+        val first = client.newCall(request("r1"))
+        val running = CompletableFuture.runAsync { runCatching { first.execute() } }
+        awaitBusy()
+        val shed = send("r2")
+        assertEquals(503, shed.code)
+        assertEquals("not-run", shed.header(HeaderNames.OUTCOME))
+        assertEquals(RunEnd.NOT_RUN, endOf("r2"))
+        first.cancel()
+        running.get()
+        awaitIdle()
+    }
+
+    @Test
+    fun `a closed connection ends the run and frees its slot`() {
+        slowDown()
+        val call = client.newCall(request("r1"))
+        val running = CompletableFuture.runAsync { runCatching { call.execute() } }
+        awaitBusy()
+        call.cancel()
+        running.get()
+        awaitIdle()
+        assertEquals(RunEnd.CANCELLED, endOf("r1"))
+    }
+
+    @Test
+    fun `a run ends at its deadline with an unknown outcome`() {
+        slowDown()
+        val response = send("r1", HeaderNames.DEADLINE_MS to "30")
+        assertEquals(504, response.code)
+        assertEquals("unknown", response.header(HeaderNames.OUTCOME))
+        assertEquals(RunEnd.TIMED_OUT, endOf("r1"))
+    }
+
+    @Test
+    fun `a leaving worker refuses as not run and says so`() {
+        state.isDraining = true
+        val response = send("r1")
+        assertEquals("not-run" to "true", response.header(HeaderNames.OUTCOME) to response.header(HeaderNames.DRAINING))
+        assertTrue(response.header(HeaderNames.RETRY_AFTER) != null)
+    }
+
+    @Test
+    fun `a cut answer can't be read to its end`() {
+        state.faults = WorkerFaults(answersToCut = 1)
+        assertFailsWith<IOException> { send("r1") }
+        assertEquals(RunEnd.DONE, endOf("r1"))
+        assertEquals(200, send("r2").code)
+    }
+
+    @Test
+    fun `a crossed answer carries the id of another request`() {
+        send("r1")
+        state.faults = WorkerFaults(answersToCross = 1)
+        assertEquals("r1", send("r2").header(HeaderNames.REQUEST_ID))
+        assertEquals("r3", send("r3").header(HeaderNames.REQUEST_ID))
+    }
+
+    @Test
+    fun `a lost answer comes after the request has run`() {
+        state.faults = WorkerFaults(answersToLose = 1)
+        assertFailsWith<IOException> { send("r1") }
+        assertEquals(RunEnd.DONE, endOf("r1"))
+    }
+
+    @Test
+    fun `a late answer comes after the slot is free`() {
+        state.faults = WorkerFaults(answersToDelay = 1, delayMs = 60_000)
+        val late = client.newCall(request("r1"))
+        val waiting = CompletableFuture.runAsync { runCatching { late.execute() } }
+        while (runLog.arrivals().none { it.end == RunEnd.DONE }) {
+            Thread.onSpinWait()
+        }
+        assertEquals(200, send("r2").code)
+        assertTrue(!waiting.isDone, "the first answer is held back")
+        late.cancel()
+    }
+
+    @Test
+    fun `connections from before the fault stay silent and new ones work`() {
+        send("r1")
+        state.silenceConnections()
+        assertFailsWith<IOException> { send("r2") }
+        assertEquals(200, send("r3").code)
+        assertEquals(listOf("r1", "r3"), runLog.arrivals().map { it.requestId })
+    }
+
+    @Test
+    fun `a caller's key in a header is found`() {
+        send("r1", HeaderNames.AUTHORIZATION to "Bearer secret-key")
+        assertEquals(setOf("authorization"), headerLog.namesWith("secret-key"))
+        assertEquals(emptySet(), headerLog.namesWith("other-key"))
+    }
+
+    @Test
+    fun `the load endpoint reports what the faults say`() {
+        state.faults = WorkerFaults(load = LoadFaults(busySlots = 5, isHealthy = false))
+        val body = client.newCall(request("r1", path = "/load")).execute().use { it.body.string() }
+        assertEquals("""{"busySlots":5,"isHealthy":false,"isDraining":false}""", body)
+    }
+}
