--- a/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/NodeSettings.kt
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/NodeSettings.kt
@@ -1,24 +1,52 @@
 package io.kumquatmill.node
 
-import io.kumquatmill.common.fleet.HostAddress
-import io.kumquatmill.common.id.AvailabilityZoneId
-import io.kumquatmill.common.id.HostId
-import io.kumquatmill.common.id.RegionId
+import io.kumquatmill.limits.ledger.LedgerSettings
+import io.kumquatmill.membership.HostDescription
+import io.kumquatmill.membership.MembershipSettings
+import io.kumquatmill.routing.health.HealthSettings
+import io.kumquatmill.routing.idempotency.IdempotencySettings
 import io.kumquatmill.routing.model.Topology
+import io.kumquatmill.routing.queue.QueueSettings
+import io.kumquatmill.routing.retry.RetrySettings
+import io.kumquatmill.routing.worker.SelectionSettings
+import io.kumquatmill.steering.table.CallerRegions
+import io.kumquatmill.steering.table.SteeringSettings
 
-/** What an entry host knows of itself and its surroundings, with defaults for everything that can have one. */
+/**
+ * What an entry host knows of itself and its surroundings, with defaults for everything that can have one.
+ *
+ * [callerRegions] places a client address in regions, the best first; by default callers belong to the host's region.
+ */
 data class NodeSettings(
-    val host: HostId,
-    val region: RegionId,
-    val availabilityZone: AvailabilityZoneId,
-    val callerAddress: HostAddress,
-    val peerAddress: HostAddress,
+    val description: HostDescription,
     val topology: Topology,
-    val lookUpCacheMs: Long = DEFAULT_LOOK_UP_CACHE_MS,
-    val refusalRetryAfterMs: Long = DEFAULT_REFUSAL_RETRY_AFTER_MS,
+    val membership: MembershipSettings,
+    val ledger: LedgerSettings = LedgerSettings(),
+    val health: HealthSettings = HealthSettings(),
+    val selection: SelectionSettings = SelectionSettings(),
+    val retry: RetrySettings = RetrySettings(),
+    val queue: QueueSettings = QueueSettings(),
+    val idempotency: IdempotencySettings = IdempotencySettings(),
+    val steering: SteeringSettings = SteeringSettings(),
+    val request: RequestSettings = RequestSettings(),
+    val callerRegions: CallerRegions = { listOf(description.region) },
+)
+
+/** Times that bound how an entry host treats requests. */
+data class RequestSettings(
+    /** Time after which a caller may come back when nothing better is known. */
+    val retryAfterMs: Long = 1_000,
+    /** Longest time that a request waits for its workspace's rate. */
+    val rateWaitMs: Long = 500,
+    /** Time beyond the deadline of an attempt for which its slot stays taken when its end is not known. */
+    val slotHoldMarginMs: Long = 500,
+    /** Time for which a leaving host takes requests from callers that have not looked up again. */
+    val drainMs: Long = 6_000,
+    /** Longest time that a leaving host waits for its requests to end. */
+    val maxDrainMs: Long = 30_000,
 ) {
-    companion object {
-        const val DEFAULT_LOOK_UP_CACHE_MS: Long = 5_000
-        const val DEFAULT_REFUSAL_RETRY_AFTER_MS: Long = 1_000
+    init {
+        require(rateWaitMs >= 0) { "rateWaitMs is $rateWaitMs, expected 0 or more: correct the settings" }
     }
 }
+
--- /dev/null
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/limit/LimitCatalogue.kt
@@ -0,0 +1,50 @@
+package io.kumquatmill.node.limit
+
+import io.kumquatmill.common.id.RegionId
+import io.kumquatmill.configuration.register.ConfigurationSnapshot
+import io.kumquatmill.limits.ledger.LimitSpec
+import io.kumquatmill.routing.model.Link
+import io.kumquatmill.routing.model.Topology
+
+/** Lists every limit that the entry hosts share, from the topology and the operators' lists. */
+internal class LimitCatalogue(
+    private val topology: Topology,
+) {
+    private val topologyLimits: List<LimitSpec> = slots() + links() + shifts()
+
+    /** Returns all limits while [snapshot] is in force. */
+    fun limits(snapshot: ConfigurationSnapshot?): List<LimitSpec> = topologyLimits + rates(snapshot)
+
+    private fun rates(snapshot: ConfigurationSnapshot?): List<LimitSpec> =
+        snapshot?.plans.orEmpty().map { (workspace, plan) ->
+            LimitSpec.Rate(rateLimit(workspace), plan.ratePerS, plan.burst.toDouble())
+        }
+
+    private fun slots(): List<LimitSpec> = topology.workers.map { LimitSpec.Slots(slotLimit(it.id), it.slots, it.region) }
+
+    private fun links(): List<LimitSpec> =
+        topology.links.map { link ->
+            val bytesPerS = link.bytesPerS()
+            LimitSpec.Rate(linkLimit(link.from, link.to), bytesPerS * LINK_RATE_PART, bytesPerS * LINK_BURST_PART)
+        }
+
+    private fun shifts(): List<LimitSpec> {
+        val requestsPerInterval = topology.shiftCap.requestsPerS * topology.shiftCap.intervalMs / MS_PER_S
+        return regionPairs().map { (from, to) ->
+            LimitSpec.Slots(shiftLimit(from, to), requestsPerInterval.toInt().coerceAtLeast(1), from)
+        }
+    }
+
+    private fun regionPairs(): List<Pair<RegionId, RegionId>> = topology.links.map { it.from to it.to }.distinct()
+
+    private fun Link.bytesPerS(): Double = megabitsPerS * BYTES_PER_MEGABIT
+
+    private companion object {
+        const val BYTES_PER_MEGABIT = 125_000.0
+        const val MS_PER_S = 1_000.0
+
+        /** Rate and burst of a link together make up its capacity in any second. */
+        const val LINK_RATE_PART = 0.9
+        const val LINK_BURST_PART = 0.1
+    }
+}
