--- a/kumquatmill-common/src/main/kotlin/io/kumquatmill/common/outcome/RefusalReason.kt
+++ b/kumquatmill-common/src/main/kotlin/io/kumquatmill/common/outcome/RefusalReason.kt
@@ -19,6 +19,7 @@
     QUEUE_FULL("queue-full", 503),
     NO_CAPACITY("no-capacity", 503),
     SHIFT_CAPPED("shift-capped", 503),
+    LINK_FULL("link-full", 503),
     HOST_STOPPING("host-stopping", 503),
     HOST_ISOLATED("host-isolated", 503),
     HOST_STARTING("host-starting", 503),
--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/HealthSettings.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/HealthSettings.kt
@@ -24,7 +24,7 @@
         const val DEFAULT_CONSECUTIVE_FAILURES: Int = 3
         const val DEFAULT_OUTLIER_FACTOR: Double = 3.0
         const val DEFAULT_OUTLIER_MIN_MS: Double = 20.0
-        const val DEFAULT_OUTLIER_MIN_SAMPLES: Int = 5
+        const val DEFAULT_OUTLIER_MIN_SAMPLES: Int = 3
         const val DEFAULT_MAX_EJECTED_PART: Double = 0.34
         const val DEFAULT_BASE_EJECTION_MS: Long = 5_000
         const val DEFAULT_MAX_EJECTION_MS: Long = 120_000
--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/WorkerGroup.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/WorkerGroup.kt
@@ -28,15 +28,21 @@
         return measured.filter { it.latencyMs > limitMs }.sortedByDescending { it.latencyMs }
     }
 
-    /** Returns how much slower than the median [state] is, at least 1 and at most [MAX_SLOWNESS]. */
-    fun slowness(state: WorkerState): Double {
+    /** Returns how much slower than the median [state] is, from 1 to [MAX_SLOWNESS]; old measurements count less. */
+    fun slowness(
+        nowMs: Long,
+        state: WorkerState,
+    ): Double {
         if (state.latencySamples == 0 || medianLatencyMs <= 0.0) return 1.0
-        return (state.latencyMs / medianLatencyMs).coerceIn(1.0, MAX_SLOWNESS)
+        val excess = (state.latencyMs / medianLatencyMs).coerceIn(1.0, MAX_SLOWNESS) - 1.0
+        val freshPart = 1.0 - (nowMs - state.latencyAtMs).toDouble() / LATENCY_MEMORY_MS
+        return 1.0 + excess * freshPart.coerceAtLeast(0.0)
     }
 
     private companion object {
         const val EVALUATION_INTERVAL_MS = 250L
         const val MIN_COMPARED_WORKERS = 3
+        const val LATENCY_MEMORY_MS = 5_000.0
         const val MAX_SLOWNESS = 4.0
     }
 }
--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/WorkerPool.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/WorkerPool.kt
@@ -155,7 +155,7 @@
             if (nowMs >= state.ejectedUntilMs) endEjection(nowMs, state, latencyMs)
             return
         }
-        state.recordLatency(latencyMs)
+        state.recordLatency(nowMs, latencyMs)
         if (nowMs - state.servingSinceMs >= settings.forgiveAfterMs) state.ejections = 0
     }
 
--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/WorkerState.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/WorkerState.kt
@@ -12,6 +12,7 @@
     var consecutiveFailures: Int = 0
     var latencyMs: Double = 0.0
     var latencySamples: Int = 0
+    var latencyAtMs: Long = 0
     var isEjected: Boolean = false
     var ejectedUntilMs: Long = 0
     var ejections: Int = 0
@@ -25,9 +26,13 @@
     val isDraining: Boolean
         get() = drainSources.isNotEmpty()
 
-    fun recordLatency(sampleMs: Long) {
+    fun recordLatency(
+        nowMs: Long,
+        sampleMs: Long,
+    ) {
         latencyMs = if (latencySamples == 0) sampleMs.toDouble() else latencyMs + LATENCY_GAIN * (sampleMs - latencyMs)
         latencySamples += 1
+        latencyAtMs = nowMs
     }
 
     fun clearLatency() {
--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/worker/WorkerSelector.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/worker/WorkerSelector.kt
@@ -82,7 +82,7 @@
         val occupancy = (state.inFlight + 1.0) / state.worker.slots
         val distance = if (state.worker.availabilityZone == query.nearZone) 1.0 else settings.otherZoneCost
         val failures = 1.0 + state.consecutiveFailures
-        return occupancy * distance * failures * group.slowness(state) / weight(nowMs, state)
+        return occupancy * distance * failures * group.slowness(nowMs, state) / weight(nowMs, state)
     }
 
     private fun weight(
