--- /dev/null
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/request/Admission.kt
@@ -0,0 +1,76 @@
+package io.kumquatmill.node.request
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import arrow.core.raise.ensureNotNull
+import arrow.core.right
+import io.kumquatmill.common.id.WorkspaceId
+import io.kumquatmill.common.outcome.RefusalReason
+import io.kumquatmill.configuration.model.KeyHash
+import io.kumquatmill.configuration.model.Plan
+import io.kumquatmill.configuration.register.ConfigurationSnapshot
+import io.kumquatmill.node.event.NodeEvent
+import io.kumquatmill.routing.model.Route
+import io.kumquatmill.routing.route.RouteMatch
+import io.kumquatmill.routing.route.RouteTable
+
+/** Who a request runs for and where it goes; [plan] is null on open routes without a key. */
+internal data class Admitted(
+    val route: Route,
+    val workspace: WorkspaceId?,
+    val plan: Plan?,
+)
+
+/** Whether this host may decide on requests at the moment. */
+internal data class HostFitness(
+    val isStopping: Boolean,
+    val isStarting: Boolean,
+    val hasStanding: Boolean,
+    val isConfigurationFresh: Boolean,
+)
+
+/** Checks a new request against the route table, the operators' lists and the state of this host. */
+internal class Admission(
+    private val routes: RouteTable,
+) {
+    fun admit(
+        event: NodeEvent.RequestArrived,
+        snapshot: ConfigurationSnapshot?,
+        fitness: HostFitness,
+    ): Either<RefusalReason, Admitted> =
+        either {
+            val route = findRoute(event).bind()
+            ensure(!fitness.isStopping) { RefusalReason.HOST_STOPPING }
+            ensureNotNull(snapshot) { RefusalReason.HOST_STARTING }
+            ensure(fitness.hasStanding) { if (fitness.isStarting) RefusalReason.HOST_STARTING else RefusalReason.HOST_ISOLATED }
+            val keyHash = event.keyHash
+            if (keyHash == null) admitWithoutKey(route).bind() else admitWithKey(route, keyHash, snapshot, fitness).bind()
+        }
+
+    private fun findRoute(event: NodeEvent.RequestArrived): Either<RefusalReason, Route> =
+        when (val match = routes.match(event.method, event.path)) {
+            is RouteMatch.Matched -> match.route.right()
+            is RouteMatch.UnknownRoute -> RefusalReason.ROUTE_UNKNOWN.left()
+            is RouteMatch.MethodNotAllowed -> RefusalReason.METHOD_NOT_ALLOWED.left()
+        }
+
+    private fun admitWithoutKey(route: Route): Either<RefusalReason, Admitted> =
+        if (route.isOpen) Admitted(route, workspace = null, plan = null).right() else RefusalReason.KEY_MISSING.left()
+
+    private fun admitWithKey(
+        route: Route,
+        keyHash: KeyHash,
+        snapshot: ConfigurationSnapshot,
+        fitness: HostFitness,
+    ): Either<RefusalReason, Admitted> =
+        either {
+            if (route.isOpen) return admitWithoutKey(route)
+            ensure(fitness.isConfigurationFresh) { RefusalReason.HOST_ISOLATED }
+            val workspace = ensureNotNull(snapshot.workspaceOf(keyHash)) { RefusalReason.KEY_UNKNOWN }
+            val plan = ensureNotNull(snapshot.planOf(workspace)) { RefusalReason.KEY_UNKNOWN }
+            ensure(route.id in plan.routes) { RefusalReason.ROUTE_NOT_IN_PLAN }
+            Admitted(route, workspace, plan)
+        }
+}
--- /dev/null
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/request/Dispatcher.kt
@@ -0,0 +1,132 @@
+package io.kumquatmill.node.request
+
+import io.kumquatmill.common.outcome.RefusalReason
+import io.kumquatmill.limits.ledger.TakeResult
+import io.kumquatmill.node.effect.Decision
+import io.kumquatmill.node.effect.DecisionKind
+import io.kumquatmill.node.effect.NodeEffect
+import io.kumquatmill.node.limit.LedgerDesk
+import io.kumquatmill.routing.health.WorkerPool
+import io.kumquatmill.routing.model.Worker
+import io.kumquatmill.routing.region.AnswerSizes
+import io.kumquatmill.routing.region.DispatchGrants
+import io.kumquatmill.routing.region.RegionChoice
+import io.kumquatmill.routing.region.RegionChooser
+import io.kumquatmill.routing.region.RegionQuery
+import io.kumquatmill.routing.retry.RetryBudget
+
+/** Result of a try to send a request to a worker. */
+internal sealed interface DispatchResult {
+    /** The attempt is under way. */
+    data class Sent(
+        val effects: List<NodeEffect>,
+    ) : DispatchResult
+
+    /** The workspace has no token; one may be there after [retryAfterMs]. */
+    data class NoRate(
+        val retryAfterMs: Long,
+    ) : DispatchResult
+
+    /** No worker can take the request now. */
+    data class NoWorker(
+        val reason: RefusalReason,
+        val retryAfterMs: Long,
+    ) : DispatchResult
+}
+
+/** Sends a request to a worker when the limits allow it; every attempt takes a token of its workspace. */
+internal class Dispatcher(
+    private val table: RequestTable,
+    private val ledger: LedgerDesk,
+    private val chooser: RegionChooser,
+    private val pool: WorkerPool,
+    private val answerSizes: AnswerSizes,
+    private val retryBudget: RetryBudget,
+) {
+    fun tryDispatch(
+        nowMs: Long,
+        request: OpenRequest,
+    ): DispatchResult {
+        val rate = ledger.takeRate(nowMs, request.workspace)
+        if (rate is TakeResult.Short) return DispatchResult.NoRate(rate.retryAfterMs)
+        val answerBytes = answerSizes.expectedBytes(request.state.route.id)
+        return when (val choice = choose(nowMs, request, answerBytes)) {
+            is RegionChoice.Chosen -> {
+                DispatchResult.Sent(send(nowMs, request, choice, answerBytes))
+            }
+
+            is RegionChoice.Refused -> {
+                ledger.returnRate(nowMs, request.workspace)
+                DispatchResult.NoWorker(choice.reason, choice.retryAfterMs)
+            }
+        }
+    }
+
+    private fun choose(
+        nowMs: Long,
+        request: OpenRequest,
+        answerBytes: Long,
+    ): RegionChoice {
+        val query =
+            RegionQuery(
+                upstream = request.state.route.upstream,
+                requestBytes = request.bodyBytes,
+                answerBytes = answerBytes,
+                excluded = request.triedWorkers,
+                isRetry = request.wasOffered,
+            )
+        request.wasOffered = true
+        val grants =
+            DispatchGrants(
+                trySlot = { ledger.takeSlot(nowMs, it) },
+                releaseSlot = { ledger.returnSlot(nowMs, it) },
+                tryLink = { ledger.takeLink(nowMs, it) },
+            )
+        return chooser.choose(nowMs, query, grants)
+    }
+
+    private fun send(
+        nowMs: Long,
+        request: OpenRequest,
+        choice: RegionChoice.Chosen,
+        answerBytes: Long,
+    ): List<NodeEffect> {
+        val isRetry = request.state.attempts > 0
+        val worker = choice.worker
+        val attempt = ActiveAttempt(table.nextAttemptId(), worker, nowMs, request.state.deadlineAtMs, answerBytes)
+        table.startAttempt(request, attempt)
+        pool.attemptStarted(worker.id)
+        if (!isRetry) retryBudget.deposit(nowMs, request.workspace, worker.region)
+        return listOf(forward(nowMs, request, attempt), log(request, worker, choice.isShifted, isRetry))
+    }
+
+    private fun forward(
+        nowMs: Long,
+        request: OpenRequest,
+        attempt: ActiveAttempt,
+    ) = NodeEffect.Forward(
+        attempt = attempt.id,
+        request = request.id,
+        worker = attempt.worker.id,
+        workspace = request.workspace,
+        timeoutMs = request.state.remainingMs(nowMs),
+        needsFreshConnection = !request.state.route.isIdempotent,
+    )
+
+    private fun log(
+        request: OpenRequest,
+        worker: Worker,
+        isShifted: Boolean,
+        isRetry: Boolean,
+    ) = NodeEffect.LogDecision(
+        Decision(
+            kind = if (isRetry) DecisionKind.RETRY else DecisionKind.FORWARD,
+            reason = if (isShifted) "other region has room" else "own region has room",
+            request = request.id,
+            workspace = request.workspace,
+            route = request.state.route.id,
+            region = worker.region,
+            worker = worker.id,
+        ),
+    )
+}
--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/queue/FairQueue.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/queue/FairQueue.kt
@@ -51,21 +51,27 @@
     }
 
     /**
-     * Offers waiting requests to [tryDispatch] in their fair order until it returns false or none is left.
+     * Offers waiting requests to [tryDispatch] in their fair order until it says that there are no slots or none is left.
      *
-     * A request for which it returns true has left the queue. Returns the requests that were given up instead.
+     * Workspaces that it passes over keep their place. Returns the requests that were given up instead.
      */
     fun dispatch(
         nowMs: Long,
-        tryDispatch: (QueuedRequest) -> Boolean,
+        tryDispatch: (QueuedRequest) -> DispatchStep,
     ): List<QueueRefusal> {
         val refused = expire(nowMs)
+        val passedOver = ArrayList<WorkspaceQueue>()
         var hasSlots = true
-        while (hasSlots && entries.isNotEmpty()) {
-            val entry = queueInTurn().head()
-            hasSlots = tryDispatch(entry.request)
-            if (hasSlots) settle(nowMs, entry)
+        while (hasSlots) {
+            val queue = queueInTurn() ?: break
+            val entry = queue.head()
+            when (tryDispatch(entry.request)) {
+                DispatchStep.DISPATCHED -> settle(nowMs, entry)
+                DispatchStep.PASS_OVER_WORKSPACE -> passedOver += turns.removeFirst()
+                DispatchStep.NO_SLOTS -> hasSlots = false
+            }
         }
+        passedOver.asReversed().forEach(turns::addFirst)
         return refused
     }
 
@@ -143,9 +149,9 @@
         pace.dispatched(nowMs)
     }
 
-    /** Returns the workspace whose turn it is; those whose turn is used up go to the end with a new one. */
-    private fun queueInTurn(): WorkspaceQueue {
-        while (true) {
+    /** Returns the workspace whose turn it is, or null if none waits; those whose turn is used up go to the end with a new one. */
+    private fun queueInTurn(): WorkspaceQueue? {
+        while (turns.isNotEmpty()) {
             val queue = turns.first()
             if (!queue.isEmpty && queue.credit > 0.0) return queue
             turns.removeFirst()
@@ -156,6 +162,7 @@
                 turns.addLast(queue)
             }
         }
+        return null
     }
 
     private fun forgetQueues() {
--- a/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/queue/FairQueueTest.kt
+++ b/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/queue/FairQueueTest.kt
@@ -57,6 +57,20 @@
         assertTrue(!queue.cancel(RequestId("b")))
     }
 
+    @Test
+    fun `a workspace that is passed over keeps its place and does not hold up the others`() {
+        queue.offer(0, request("limited", "large"))
+        queue.offer(0, request("small-1", "small"))
+        queue.offer(0, request("small-2", "small"))
+        val served = ArrayList<String>()
+        queue.dispatch(0) { request ->
+            if (request.workspace.value == "large") DispatchStep.PASS_OVER_WORKSPACE else dispatched { served += request.id.value }
+        }
+        assertEquals(listOf("small-1", "small-2"), served)
+        queue.offer(0, request("small-3", "small"))
+        assertEquals(listOf("limited", "small-3"), take(2).map { it.id.value })
+    }
+
     @Test
     fun `the queue of a workspace is bounded`() {
         repeat(100) { queue.offer(0, request("r-$it", "large")) }
@@ -67,13 +81,18 @@
 
     private fun take(count: Int): List<QueuedRequest> {
         val served = ArrayList<QueuedRequest>()
-        queue.dispatch(0) { if (served.size < count) served.add(it) else false }
+        queue.dispatch(0) { if (served.size < count) dispatched { served.add(it) } else DispatchStep.NO_SLOTS }
         return served
     }
 
-    private fun atMost(count: Int): (QueuedRequest) -> Boolean {
+    private fun dispatched(action: () -> Unit): DispatchStep {
+        action()
+        return DispatchStep.DISPATCHED
+    }
+
+    private fun atMost(count: Int): (QueuedRequest) -> DispatchStep {
         var left = count
-        return { left-- > 0 }
+        return { if (left-- > 0) DispatchStep.DISPATCHED else DispatchStep.NO_SLOTS }
     }
 
     private fun request(
