Lend units between hosts

Cause: callers of a workspace that use one host could use only that host's part of the rate. Ruled out: batches of tokens from one owner (hoarded batches break the burst); needs compared between lenders (each lender scales the need to its own part instead, so that the parts add up without any talk between lenders).

--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LedgerSettings.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LedgerSettings.kt
@@ -20,6 +20,8 @@
     val demandWindowMs: Long = 1_000,
     /** Time after the last demand at which a host gives back what it borrowed. */
     val idleReturnMs: Long = 5_000,
+    /** Time after which a lender forgets a request that led to no loan and was not repeated. */
+    val wishMs: Long = 3_000,
     /** Interval at which a host compares its demand with its units, if nothing was short. */
     val reviewIntervalMs: Long = 250,
     /** Time after which a caller may come back when no better estimate is known. */
--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LentLoans.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LentLoans.kt
@@ -11,7 +11,7 @@
     val incarnation: Incarnation,
 )
 
-/** Terms that a lender has sent and that the borrower may hold until [untilMs]. */
+/** Terms that a lender has sent and that give the borrower units until [untilMs] at the latest. */
 internal data class Promise(
     val version: Long,
     val units: Long,
@@ -24,8 +24,12 @@
  * The borrower holds exactly one of them, so the largest one that is not over is taken off the lender's units.
  */
 internal class LentLoan(
-    var latest: Promise,
+    latest: Promise,
+    private val tailMs: Long,
 ) {
+    var latest: Promise = latest
+        private set
+
     private var earlier: List<Promise> = emptyList()
 
     /** Time of the last request to give units back. */
@@ -34,7 +38,10 @@
     /** Units that the borrower was asked to keep at most, while it was asked to give some back. */
     var recalledTo: Long? = null
 
-    /** Returns the units that the borrower may hold at [nowMs]. */
+    /** Returns the units that the borrower may take tokens by at [nowMs]. */
+    fun liveUnits(nowMs: Long): Long = if (nowMs < latest.untilMs) latest.units else 0
+
+    /** Returns the units that the borrower may use at [nowMs], also for what began before its terms were over. */
     fun committedUnits(nowMs: Long): Long =
         max(
             latest.unitsAt(nowMs),
@@ -50,9 +57,9 @@
         latest = promise
     }
 
-    /** Notes that the borrower lives by the latest terms. */
+    /** Notes that the borrower lives by the latest terms; what it began by earlier ones may still be in use. */
     fun confirm() {
-        earlier = emptyList()
+        if (tailMs == 0L) earlier = emptyList()
     }
 
     /** Extends the latest terms to [untilMs]. */
@@ -67,13 +74,13 @@
     ): Long {
         earlier = earlier.map { if (it.version <= version) it.copy(units = min(it.units, keptUnits)) else it }
         if (latest.version != version) return 0
-        confirm()
+        earlier = emptyList()
         val freed = max(0, latest.units - keptUnits)
         latest = latest.copy(units = latest.units - freed)
         return freed
     }
 
-    private fun Promise.unitsAt(nowMs: Long): Long = if (nowMs < untilMs) units else 0
+    private fun Promise.unitsAt(nowMs: Long): Long = if (nowMs < untilMs + tailMs) units else 0
 }
 
 /** The part of a limit that a host asked to have. */
@@ -130,10 +137,6 @@
         committedUnits = loans.values.sumOf { it.committedUnits(nowMs) }
     }
 
-    /** Forgets everything. */
-    fun clear() {
-        loans.clear()
-        wishes.clear()
-        committedUnits = 0
-    }
+    /** Forgets what other hosts asked for. */
+    fun clearWishes() = wishes.clear()
 }
--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LimitState.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LimitState.kt
@@ -7,11 +7,11 @@
 /** All that a host knows of one limit. */
 internal class LimitState(
     spec: LimitSpec,
-    private val settings: LedgerSettings,
-    nowMs: Long,
+    settings: LedgerSettings,
+    val createdAtMs: Long,
 ) {
     val id: LimitId = spec.id
-    val meter: Meter = meterFor(spec, settings, nowMs)
+    val meter: Meter = meterFor(spec, settings, createdAtMs)
     val anchor = AnchorShare()
     val lent = LentLoans()
     val borrowed = BorrowedLoans()
@@ -55,9 +55,9 @@
     /** Tells the meter how many units there are now. */
     fun resize(nowMs: Long) = meter.resize(nowMs, usableUnits)
 
-    /** Forgets all loans, given and taken, and all tokens. */
+    /** Forgets what it has of its own and borrowed, and all tokens; what is lent stays lent until it is over. */
     fun reset(nowMs: Long) {
-        lent.clear()
+        lent.clearWishes()
         borrowed.clear()
         anchor.clear()
         meter.drain(nowMs)
@@ -65,6 +65,10 @@
         resize(nowMs)
     }
 
+    /** Returns whether there is neither demand nor a loan. */
+    fun isQuiet(nowMs: Long): Boolean =
+        askedUnits == 0L && borrowed.isEmpty() && lent.isEmpty() && lent.wishesByBorrower.isEmpty() && meter.neededUnits(nowMs) == 0L
+
     /** Returns whether a removed limit has nothing left that binds. */
     fun isForgettable(): Boolean = !isActive && lent.isEmpty() && borrowed.isEmpty() && meter.isIdle()
 }
--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/ShareLedger.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/ShareLedger.kt
@@ -2,6 +2,7 @@
 
 import io.kumquatmill.common.fleet.Standing
 import io.kumquatmill.common.id.HostId
+import io.kumquatmill.common.id.Incarnation
 
 /**
  * One host's part of the limits over all hosts together.
@@ -20,10 +21,15 @@
 ) {
     private val fleet = Fleet(self, settings)
     private val states = sortedMapOf<LimitId, LimitState>()
+    private val lender = LenderBook(fleet, settings, states)
+    private val borrower = BorrowerBook(fleet, settings, states)
+    private val dirty = sortedSetOf<LimitId>()
+    private val tally = LedgerTally()
+    private var reviewedAtMs = nowMs
 
     /** Counts of what this ledger has done. */
-    var counters: LedgerCounters = LedgerCounters()
-        private set
+    val counters: LedgerCounters
+        get() = tally.snapshot()
 
     init {
         onLimits(nowMs, specs)
@@ -49,6 +55,7 @@
         }
         val step = fleet.adopt(nowMs, standing)
         if (step == RosterStep.SAME) return
+        if (step == RosterStep.BREAK) borrower.clear() else borrower.onRoster(nowMs)
         states.values.forEach { state ->
             if (step == RosterStep.BREAK) state.reset(nowMs)
             placeAnchor(nowMs, state)
@@ -57,14 +64,36 @@
 
     /** Lets time pass: counts gains that are due, compares demand with units, renews loans; returns the messages to send. */
     fun onTick(nowMs: Long): List<LedgerSend> {
-        states.values.forEach { state ->
-            if (state.anchor.mature(nowMs)) {
-                settle(nowMs, state)
-                state.resize(nowMs)
-            }
+        if (nowMs - reviewedAtMs >= settings.reviewIntervalMs) reviewAll(nowMs)
+        reviewDirty(nowMs)
+        if (fleet.hasStanding(nowMs)) borrower.renew(nowMs)
+        return drain(nowMs)
+    }
+
+    /** Takes in a [message] of the ledger of [from]; returns the messages to send. */
+    fun onMessage(
+        nowMs: Long,
+        from: HostId,
+        fromIncarnation: Incarnation,
+        message: LedgerMessage,
+    ): List<LedgerSend> {
+        tally.messagesReceived++
+        if (message.to != fleet.ownIncarnation || fleet.incarnationOf(from) != fromIncarnation) {
+            tally.messagesIgnored++
+            return emptyList()
         }
-        states.values.removeIf { it.isForgettable() }
-        return emptyList()
+        val touched = receive(nowMs, Borrower(from, fromIncarnation), message)
+        dirty += touched.map { it.id }
+        reviewDirty(nowMs)
+        return drain(nowMs)
+    }
+
+    /** Gives back and lends away all it has, because this host leaves; returns the messages to send. */
+    fun handOver(nowMs: Long): List<LedgerSend> {
+        lender.isLeaving = true
+        borrower.isLeaving = true
+        reviewAll(nowMs)
+        return drain(nowMs)
     }
 
     /** Takes [amount] tokens of [limit] if this host has them. */
@@ -75,10 +104,11 @@
     ): TakeResult {
         val state = usableState(nowMs, limit) ?: return TakeResult.Short(settings.defaultRetryAfterMs)
         if (state.meter.tryTake(nowMs, amount)) {
-            counters = counters.copy(takes = counters.takes + 1)
+            tally.takes++
             return TakeResult.Taken
         }
-        counters = counters.copy(shorts = counters.shorts + 1)
+        tally.shorts++
+        dirty += limit
         val retryAfterMs = state.meter.retryAfterMs(nowMs, amount) ?: settings.defaultRetryAfterMs
         return TakeResult.Short(retryAfterMs.coerceIn(1, settings.maxRetryAfterMs))
     }
@@ -135,6 +165,49 @@
             )
         }
 
+    private fun receive(
+        nowMs: Long,
+        from: Borrower,
+        message: LedgerMessage,
+    ): List<LimitState> {
+        when (message) {
+            is LedgerMessage.LoanRequest -> return lender.onRequest(nowMs, from, message)
+            is LedgerMessage.LoanReturn -> return lender.onReturn(nowMs, from, message)
+            is LedgerMessage.LoanGrant -> return borrower.onGrant(nowMs, from.host, message)
+            is LedgerMessage.LoanRenewal -> lender.onRenewal(nowMs, from, message)
+            is LedgerMessage.LoanRenewed -> borrower.onRenewed(nowMs, from.host, message)
+            is LedgerMessage.LoanRecall -> borrower.onRecall(nowMs, from.host, message)
+        }
+        return emptyList()
+    }
+
+    private fun reviewAll(nowMs: Long) {
+        reviewedAtMs = nowMs
+        states.values.removeIf { it.isForgettable() }
+        states.values.forEach { state ->
+            state.anchor.mature(nowMs)
+            settle(nowMs, state)
+            state.lent.expire(nowMs, settings.wishMs)
+            state.resize(nowMs)
+            if (!state.isQuiet(nowMs)) dirty += state.id
+        }
+    }
+
+    private fun reviewDirty(nowMs: Long) {
+        if (dirty.isEmpty()) return
+        dirty.mapNotNull { states[it] }.forEach { state ->
+            lender.review(nowMs, state)
+            if (fleet.hasStanding(nowMs)) borrower.review(nowMs, state)
+        }
+        dirty.clear()
+    }
+
+    private fun drain(nowMs: Long): List<LedgerSend> {
+        val sends = lender.drain(nowMs) + borrower.drain(nowMs)
+        tally.count(sends)
+        return sends
+    }
+
     private fun putLimit(
         nowMs: Long,
         spec: LimitSpec,
@@ -164,6 +237,7 @@
         state: LimitState,
     ) {
         state.homes = fleet.homes(state.spec)
+        state.askedUnits = 0
         val gainAtMs = if (state.meter.tailMs == 0L) nowMs else fleet.rosterSeenAtMs + state.meter.tailMs
         state.anchor.moveTo(nowMs, if (state.isActive) fleet.anchorTarget(state.spec) else 0, gainAtMs)
         state.resize(nowMs)
