--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/ShareLedger.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/ShareLedger.kt
@@ -151,6 +151,9 @@
         limit: LimitId,
     ): Long = usableState(nowMs, limit)?.usableUnits ?: 0
 
+    /** Returns all units of [limit] over all hosts, or 0 if there is no such limit. */
+    fun totalUnits(limit: LimitId): Long = states[limit]?.spec?.totalUnits ?: 0
+
     /** Returns what this host holds of each limit. */
     fun holdings(nowMs: Long): List<Holding> =
         states.values.filter { it.isActive }.map { state ->
--- a/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/DefaultEntryNode.kt
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/DefaultEntryNode.kt
@@ -1,184 +1,188 @@
 package io.kumquatmill.node
 
-import io.kumquatmill.common.id.Incarnation
-import io.kumquatmill.common.id.RequestId
-import io.kumquatmill.common.outcome.Outcome
-import io.kumquatmill.common.outcome.RefusalReason
-import io.kumquatmill.common.outcome.wireName
-import io.kumquatmill.configuration.model.OperatorLists
-import io.kumquatmill.configuration.model.VersionedLists
+import io.kumquatmill.common.id.WorkerId
+import io.kumquatmill.limits.ledger.Holding
+import io.kumquatmill.membership.MembershipLifecycle
 import io.kumquatmill.node.effect.Decision
 import io.kumquatmill.node.effect.DecisionKind
 import io.kumquatmill.node.effect.NodeEffect
-import io.kumquatmill.node.event.AttemptResult
 import io.kumquatmill.node.event.NodeEvent
-import io.kumquatmill.node.request.ActiveAttempt
-import io.kumquatmill.node.request.RequestState
+import io.kumquatmill.node.limit.LedgerDesk
+import io.kumquatmill.node.limit.shiftLimit
+import io.kumquatmill.node.request.Admission
+import io.kumquatmill.node.request.AttemptBooks
+import io.kumquatmill.node.request.Dispatcher
+import io.kumquatmill.node.request.HostFitness
+import io.kumquatmill.node.request.RequestDesk
+import io.kumquatmill.node.request.RequestQueues
 import io.kumquatmill.node.request.RequestTable
-import io.kumquatmill.routing.model.Route
-import io.kumquatmill.store.StoreCall
-import io.kumquatmill.store.StoreReply
-import kotlinx.serialization.json.Json
-
-/** The [EntryNode] of the daemon, composed of the parts of the library. */
+import io.kumquatmill.node.steering.LookUpDesk
+import io.kumquatmill.routing.health.HealthChange
+import io.kumquatmill.routing.health.WorkerLoad
+import io.kumquatmill.routing.health.WorkerPool
+import io.kumquatmill.routing.idempotency.IdempotencyRegister
+import io.kumquatmill.routing.queue.ServiceTimes
+import io.kumquatmill.routing.region.AnswerSizes
+import io.kumquatmill.routing.region.RegionChooser
+import io.kumquatmill.routing.retry.RetryBudget
+import io.kumquatmill.routing.retry.RetryPolicy
+import io.kumquatmill.routing.route.RouteTable
+import io.kumquatmill.routing.shift.ShiftRamps
+import io.kumquatmill.routing.worker.WorkerSelector
+import kotlin.random.Random
+
+/**
+ * The [EntryNode] of the daemon, composed of the parts of the library.
+ *
+ * ```
+ * val node = DefaultEntryNode(settings, Random(seed))
+ * node.handle(nowMs, NodeEvent.Tick).forEach(::carryOut)
+ * ```
+ */
 class DefaultEntryNode(
     private val settings: NodeSettings,
+    random: Random,
 ) : EntryNode {
-    private val requests = RequestTable()
-    private var lists: VersionedLists? = null
-    private var nextCallId = 0L
-    private var nextReadAtMs = Long.MIN_VALUE
-    private var isStopping = false
-    private var nextWorker = 0
+    private val coordination = Coordination(settings, Random(random.nextLong()))
+    private val lookUps = LookUpDesk(settings)
+    private val stop = PlannedStop(settings.request)
+    private val pool = WorkerPool(settings.topology.workers, Random(random.nextLong()), settings.health)
+    private val ledgerDesk = LedgerDesk(coordination.ledger)
+    private var nowMs = 0L
+    private val requests = requestDesk(Random(random.nextLong()))
+    private var hasExited = false
 
     override fun handle(
         nowMs: Long,
         event: NodeEvent,
-    ): List<NodeEffect> =
-        when (event) {
-            is NodeEvent.RequestArrived -> onRequest(nowMs, event)
-            is NodeEvent.RequestCancelled -> onCancelled(event.request)
-            is NodeEvent.AttemptEnded -> onAttemptEnded(event)
-            is NodeEvent.StoreCallEnded -> onStoreCallEnded(event)
-            is NodeEvent.Tick -> onTick(nowMs)
+    ): List<NodeEffect> {
+        this.nowMs = nowMs
+        return when (event) {
+            is NodeEvent.RequestArrived -> requests.arrive(nowMs, event, coordination.snapshot, fitness())
+            is NodeEvent.RequestCancelled -> requests.cancel(nowMs, event, coordination.snapshot)
+            is NodeEvent.AttemptEnded -> requests.endAttempt(nowMs, event, coordination.snapshot) + healthChanges()
+            is NodeEvent.StoreCallEnded -> coordination.onStoreCallEnded(nowMs, event)
+            is NodeEvent.PeerMessageReceived -> coordination.onPeerMessage(nowMs, event.envelope)
+            is NodeEvent.HostListRead -> coordination.onHostList(nowMs, event)
+            is NodeEvent.LoadReported -> onLoadReport(event)
+            is NodeEvent.Tick -> onTick()
             is NodeEvent.StopRequested -> onStop()
-            is NodeEvent.HostListRead, is NodeEvent.LoadReported, is NodeEvent.PeerMessageReceived -> emptyList()
         }
+    }
 
     override fun lookUp(
         nowMs: Long,
         query: LookUpQuery,
-    ): LookUpAnswer {
-        val self = EntryHost(settings.host, settings.region, settings.callerAddress)
-        return LookUpAnswer.Found(hosts = listOf(self), alternates = emptyList(), cacheMs = settings.lookUpCacheMs)
-    }
+    ): LookUpAnswer = lookUps.lookUp(query)
 
     override fun status(nowMs: Long): NodeStatus =
         NodeStatus(
-            host = settings.host,
-            incarnation = Incarnation(1),
+            host = settings.description.host,
+            incarnation = coordination.incarnation,
             lifecycle = lifecycle(),
-            configurationRevision = lists?.revision ?: 0,
-            rosterEpoch = 0,
-            hasStanding = true,
-            inFlightRequests = requests.size,
-            queuedRequests = 0,
-            shares = emptyList(),
+            configurationRevision = coordination.snapshot?.revision ?: 0,
+            rosterEpoch = coordination.standing(nowMs).roster?.epoch ?: 0,
+            hasStanding = coordination.standing(nowMs).isValid(nowMs),
+            inFlightRequests = requests.openRequests - requests.queuedRequests,
+            queuedRequests = requests.queuedRequests,
+            shares = coordination.ledger.holdings(nowMs).map { it.toStatus() },
         )
 
-    private fun lifecycle(): Lifecycle =
-        when {
-            isStopping -> Lifecycle.DRAINING
-            lists == null -> Lifecycle.STARTING
-            else -> Lifecycle.LIVE
-        }
-
-    private fun onRequest(
-        nowMs: Long,
-        event: NodeEvent.RequestArrived,
-    ): List<NodeEffect> {
-        val route =
-            settings.topology.routes.firstOrNull { event.path.startsWith(it.pathPrefix) }
-                ?: return refuse(event.request, RefusalReason.ROUTE_UNKNOWN)
-        if (event.method !in route.methods) return refuse(event.request, RefusalReason.METHOD_NOT_ALLOWED)
-        val current = lists?.lists ?: return refuse(event.request, RefusalReason.HOST_STARTING)
-        val customer = current.customers.firstOrNull { event.keyHash in it.keyHashes }
-        if (customer == null && !route.isOpen) return refuse(event.request, RefusalReason.KEY_UNKNOWN)
-        val request =
-            RequestState(
-                id = event.request,
-                route = route,
-                workspace = customer?.workspace,
-                arrivedAtMs = nowMs,
-                deadlineAtMs = nowMs + route.deadlineMs,
-                bodyBytes = event.bodyBytes,
-                idempotencyKey = event.idempotencyKey,
-            )
-        requests.add(request)
-        return forward(nowMs, request, route)
+    private fun requestDesk(random: Random): RequestDesk {
+        val table = RequestTable()
+        val serviceTimes = ServiceTimes()
+        val answerSizes = AnswerSizes()
+        val retryBudget = RetryBudget(settings.retry)
+        val upstreams =
+            settings.topology.routes
+                .map { it.upstream }
+                .toSet()
+        return RequestDesk(
+            settings = settings.request,
+            table = table,
+            admission = Admission(RouteTable(settings.topology.routes)),
+            dispatcher = Dispatcher(table, ledgerDesk, regionChooser(random), pool, answerSizes, retryBudget),
+            queues = RequestQueues(upstreams, settings.queue, settings.request, ledgerDesk, serviceTimes),
+            retryPolicy = RetryPolicy(retryBudget, settings.retry),
+            attempts = AttemptBooks(settings.description.region, settings.request, ledgerDesk, pool, serviceTimes, answerSizes),
+            idempotency = IdempotencyRegister(settings.idempotency),
+        )
     }
 
-    private fun forward(
-        nowMs: Long,
-        request: RequestState,
-        route: Route,
-    ): List<NodeEffect> {
-        val workers = settings.topology.workers.filter { it.upstream == route.upstream }
-        if (workers.isEmpty()) {
-            requests.remove(request)
-            return refuse(request.id, RefusalReason.NO_CAPACITY)
-        }
-        val worker = workers[nextWorker++ % workers.size]
-        val attempt = ActiveAttempt(requests.nextAttemptId(), worker.id, worker.region, nowMs)
-        requests.startAttempt(request, attempt)
-        return listOf(
-            NodeEffect.Forward(
-                attempt = attempt.id,
-                request = request.id,
-                worker = worker.id,
-                workspace = request.workspace,
-                timeoutMs = request.remainingMs(nowMs),
-                needsFreshConnection = !route.isIdempotent,
-            ),
-        )
+    private fun regionChooser(random: Random): RegionChooser {
+        val description = settings.description
+        val selector = WorkerSelector(pool, random, { heldSlots(it.id) }, settings.selection)
+        val ramps = ShiftRamps(settings.topology.shiftCap) { from, to -> ledgerDesk.part(nowMs, shiftLimit(from, to)) }
+        return RegionChooser(description.region, description.availabilityZone, settings.topology.links, pool, selector, ramps)
     }
 
-    private fun onCancelled(id: RequestId): List<NodeEffect> {
-        val request = requests[id] ?: return emptyList()
-        val attempt = request.attempt
-        requests.remove(request)
-        return listOfNotNull(attempt?.let { NodeEffect.CancelAttempt(it.id) })
+    private fun heldSlots(worker: WorkerId): Int = ledgerDesk.heldSlots(nowMs, worker)
+
+    private fun onTick(): List<NodeEffect> {
+        val effects = ArrayList<NodeEffect>()
+        effects += coordination.tick(nowMs)
+        lookUps.update(coordination.hosts, coordination.snapshot)
+        pool.expireDrains(nowMs)
+        effects += requests.tick(nowMs, coordination.snapshot)
+        effects += healthChanges()
+        effects += continueStop()
+        return effects
     }
 
-    private fun onAttemptEnded(event: NodeEvent.AttemptEnded): List<NodeEffect> {
-        val request = requests.byAttempt(event.attempt) ?: return emptyList()
-        requests.remove(request)
-        return when (val result = event.result) {
-            is AttemptResult.Answered -> listOf(NodeEffect.RelayAnswer(request.id, event.attempt))
-            is AttemptResult.NotSent, is AttemptResult.Shed -> refuse(request.id, RefusalReason.NO_CAPACITY)
-            is AttemptResult.Unknown -> {
-                val outcome = Outcome.Unknown(RefusalReason.UPSTREAM_FAILED, settings.refusalRetryAfterMs)
-                listOf(NodeEffect.Refuse(request.id, outcome), logRefusal(request.id, outcome, result.detail))
-            }
-        }
+    private fun onStop(): List<NodeEffect> {
+        stop.start(nowMs)
+        return coordination.leave(nowMs) + log(DecisionKind.DRAIN, "this host was asked to stop")
     }
 
-    private fun onStoreCallEnded(event: NodeEvent.StoreCallEnded): List<NodeEffect> {
-        event.result.onRight { reply ->
-            val entry = (reply as? StoreReply.Entry)?.entry
-            if (entry != null) lists = VersionedLists(entry.revision, Json.decodeFromString<OperatorLists>(entry.value))
+    private fun continueStop(): List<NodeEffect> {
+        if (stop.isDepartureDue(nowMs, requests.openRequests)) {
+            return coordination.depart(nowMs) + log(DecisionKind.DRAIN, "all requests have ended, shares are handed over")
         }
-        return emptyList()
+        val hasLeft = coordination.lifecycle == MembershipLifecycle.LEFT
+        if (!hasLeft || hasExited) return emptyList()
+        hasExited = true
+        return listOf(NodeEffect.Exit)
     }
 
-    private fun onTick(nowMs: Long): List<NodeEffect> {
-        if (nowMs < nextReadAtMs) return emptyList()
-        nextReadAtMs = nowMs + READ_INTERVAL_MS
-        nextCallId += 1
-        return listOf(NodeEffect.CallStore(nextCallId, StoreCall.Read(LISTS_KEY)))
+    private fun onLoadReport(event: NodeEvent.LoadReported): List<NodeEffect> {
+        val report = event.report
+        pool.loadReported(nowMs, event.worker, WorkerLoad(report.busySlots, report.isHealthy, report.isDraining, nowMs))
+        return healthChanges()
     }
 
-    private fun onStop(): List<NodeEffect> {
-        isStopping = true
-        return listOf(NodeEffect.Exit)
-    }
+    private fun fitness(): HostFitness =
+        HostFitness(
+            isStopping = stop.refusesRequests(nowMs),
+            isStarting = isJoining(),
+            hasStanding = coordination.standing(nowMs).isValid(nowMs),
+            isConfigurationFresh = coordination.isConfigurationFresh(nowMs),
+        )
 
-    private fun refuse(
-        id: RequestId,
-        reason: RefusalReason,
-    ): List<NodeEffect> {
-        val outcome = Outcome.NotRun(reason, settings.refusalRetryAfterMs)
-        return listOf(NodeEffect.Refuse(id, outcome), logRefusal(id, outcome, reason.wireName))
-    }
+    private fun isJoining(): Boolean =
+        coordination.lifecycle == MembershipLifecycle.STARTING || coordination.lifecycle == MembershipLifecycle.JOINING
 
-    private fun logRefusal(
-        id: RequestId,
-        outcome: Outcome,
+    private fun lifecycle(): Lifecycle =
+        when {
+            coordination.lifecycle == MembershipLifecycle.LEFT -> Lifecycle.STOPPED
+            stop.isStarted -> Lifecycle.DRAINING
+            isJoining() || coordination.snapshot == null -> Lifecycle.STARTING
+            else -> Lifecycle.LIVE
+        }
+
+    private fun healthChanges(): List<NodeEffect> = pool.takeChanges().map { NodeEffect.LogDecision(it.toDecision()) }
+
+    private fun log(
+        kind: DecisionKind,
         reason: String,
-    ): NodeEffect = NodeEffect.LogDecision(Decision(DecisionKind.REFUSE, reason, request = id, outcome = outcome.wireName))
+    ) = NodeEffect.LogDecision(Decision(kind, reason))
+}
 
-    private companion object {
-        const val LISTS_KEY = "config/lists"
-        const val READ_INTERVAL_MS = 500L
+private fun Holding.toStatus() = ShareStatus(limit.value, units, totalUnits)
+
+private fun HealthChange.toDecision(): Decision =
+    when (this) {
+        is HealthChange.Ejected -> Decision(DecisionKind.EJECT, "ejected: $cause", worker = worker)
+        is HealthChange.Returned -> Decision(DecisionKind.EJECT, "returned after a probe", worker = worker)
+        is HealthChange.DrainStarted -> Decision(DecisionKind.DRAIN, "leaving, by its $source", worker = worker)
+        is HealthChange.DrainEnded -> Decision(DecisionKind.DRAIN, "no longer leaving", worker = worker)
     }
-}
--- a/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/NodeSettings.kt
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/NodeSettings.kt
@@ -49,4 +49,3 @@
         require(rateWaitMs >= 0) { "rateWaitMs is $rateWaitMs, expected 0 or more: correct the settings" }
     }
 }
-
--- a/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/limit/LedgerDesk.kt
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/limit/LedgerDesk.kt
@@ -4,7 +4,6 @@
 import io.kumquatmill.common.id.WorkerId
 import io.kumquatmill.common.id.WorkspaceId
 import io.kumquatmill.limits.ledger.LimitId
-import io.kumquatmill.limits.ledger.LimitSpec
 import io.kumquatmill.limits.ledger.ShareLedger
 import io.kumquatmill.limits.ledger.TakeResult
 import io.kumquatmill.routing.region.LinkUse
@@ -74,16 +73,12 @@
         if (extraBytes > 0) ledger.charge(nowMs, linkLimit(from, to), extraBytes)
     }
 
-    /** Returns the part of the cap on shifts between two regions that this host may use now, from 0 to 1. */
-    fun shiftPart(
-        nowMs: Long,
-        from: RegionId,
-        to: RegionId,
-        cap: LimitSpec,
-    ): Double = ledger.units(nowMs, shiftLimit(from, to)).toDouble() / cap.totalUnits
-
-    fun units(
+    /** Returns the part of all units of [limit] that this host may use now, from 0 to 1. */
+    fun part(
         nowMs: Long,
         limit: LimitId,
-    ): Long = ledger.units(nowMs, limit)
+    ): Double {
+        val totalUnits = ledger.totalUnits(limit)
+        return if (totalUnits == 0L) 0.0 else ledger.units(nowMs, limit).toDouble() / totalUnits
+    }
 }
--- a/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/request/AttemptBooks.kt
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/request/AttemptBooks.kt
@@ -101,8 +101,7 @@
         nowMs: Long,
         attempt: ActiveAttempt,
         result: AttemptResult.Answered,
-    ): AttemptSample =
-        if (result.status >= FIRST_SERVER_ERROR) AttemptSample.Failed else AttemptSample.Served(nowMs - attempt.sentAtMs)
+    ): AttemptSample = if (result.status >= FIRST_SERVER_ERROR) AttemptSample.Failed else AttemptSample.Served(nowMs - attempt.sentAtMs)
 
     private companion object {
         const val FIRST_SERVER_ERROR = 500
--- a/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/request/Dispatcher.kt
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/request/Dispatcher.kt
@@ -73,7 +73,7 @@
                 requestBytes = request.bodyBytes,
                 answerBytes = answerBytes,
                 excluded = request.triedWorkers,
-                isRetry = request.wasOffered,
+                isRepeat = request.wasOffered,
             )
         request.wasOffered = true
         val grants =
--- a/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/request/RequestDesk.kt
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/request/RequestDesk.kt
@@ -52,13 +52,14 @@
     fun cancel(
         nowMs: Long,
         event: NodeEvent.RequestCancelled,
+        snapshot: ConfigurationSnapshot?,
     ): List<NodeEffect> {
         val request = table[event.request] ?: return emptyList()
         queues.cancel(request)
         val effects = abandonAttempt(nowMs, request)
         endClaim(nowMs, request, request.state.refused(RefusalReason.DEADLINE_EXCEEDED, settings.retryAfterMs))
         table.remove(request)
-        return effects + dispatchWaiting(nowMs, snapshot = null)
+        return effects + dispatchWaiting(nowMs, snapshot)
     }
 
     fun endAttempt(
