Add the command-line tool kumquatctl

Cause: operators drive a fleet only by editing the two lists, and need to see where an edit is in force.

Keys come from a file or the standard input.

--- /dev/null
+++ b/kumquatmill-cli/src/main/kotlin/io/kumquatmill/cli/Main.kt
@@ -0,0 +1,6 @@
+package io.kumquatmill.cli
+
+import com.github.ajalt.clikt.core.main
+
+/** Entry point of the program `kumquatctl`. */
+fun main(args: Array<String>) = kumquatctl().main(args)
--- /dev/null
+++ b/kumquatmill-cli/src/main/kotlin/io/kumquatmill/cli/command/CustomerCommands.kt
@@ -0,0 +1,62 @@
+package io.kumquatmill.cli.command
+
+import arrow.core.Either
+import arrow.core.raise.either
+import arrow.core.right
+import com.github.ajalt.clikt.core.subcommands
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import io.kumquatmill.cli.CommandEnvironment
+import io.kumquatmill.cli.edit.readLists
+import io.kumquatmill.cli.error.CliError
+import io.kumquatmill.cli.output.Table
+import io.kumquatmill.common.id.PlanId
+import io.kumquatmill.common.id.WorkspaceId
+import io.kumquatmill.configuration.edit.ListEdit
+import io.kumquatmill.configuration.model.Customer
+import io.kumquatmill.configuration.model.OperatorLists
+
+/** Returns the commands on the list of customers. */
+internal fun customerCommands(environment: CommandEnvironment): CommandGroup =
+    CommandGroup("customer", "Lists and edits the customers: workspaces, their plans and the hashes of their keys.")
+        .subcommands(CustomerListCommand(environment), CustomerSetCommand(environment), CustomerRemoveCommand(environment))
+
+private class CustomerListCommand(
+    environment: CommandEnvironment,
+) : LeafCommand(environment, "list", "Prints all customers.") {
+    override fun execute(options: ResolvedOptions): Either<CliError, Unit> =
+        either {
+            val stored = openStore(options).bind().readLists().bind()
+            print(options, stored.lists.customers) { table(stored.lists.customers) }
+        }
+
+    private fun table(customers: List<Customer>): Table =
+        Table(
+            listOf("WORKSPACE", "PLAN", "KEY-HASHES"),
+            customers.map { customer ->
+                listOf(customer.workspace.value, customer.plan.value, customer.keyHashes.joinToString(","))
+            },
+        )
+}
+
+private class CustomerSetCommand(
+    environment: CommandEnvironment,
+) : EditCommand(environment, "set", "Adds a customer or moves one to another plan; its keys stay.") {
+    private val workspace by argument(help = "Name of the workspace")
+    private val plan by option("--plan", help = "Name of the plan").required()
+
+    override fun editOf(lists: OperatorLists): Either<CliError, ListEdit> {
+        val id = WorkspaceId(workspace)
+        val current = lists.customers.find { it.workspace == id }
+        return ListEdit.SetCustomer(Customer(id, PlanId(plan), current?.keyHashes.orEmpty())).right()
+    }
+}
+
+private class CustomerRemoveCommand(
+    environment: CommandEnvironment,
+) : EditCommand(environment, "remove", "Removes a customer; its keys stop working.") {
+    private val workspace by argument(help = "Name of the workspace")
+
+    override fun editOf(lists: OperatorLists): Either<CliError, ListEdit> = ListEdit.RemoveCustomer(WorkspaceId(workspace)).right()
+}
--- /dev/null
+++ b/kumquatmill-cli/src/main/kotlin/io/kumquatmill/cli/command/KeyCommands.kt
@@ -0,0 +1,59 @@
+package io.kumquatmill.cli.command
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import com.github.ajalt.clikt.core.subcommands
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.path
+import io.kumquatmill.cli.CommandEnvironment
+import io.kumquatmill.cli.error.CliError
+import io.kumquatmill.cli.key.CallerKey
+import io.kumquatmill.common.id.WorkspaceId
+import io.kumquatmill.configuration.edit.ListEdit
+import io.kumquatmill.configuration.model.KeyHash
+import io.kumquatmill.configuration.model.OperatorLists
+import java.nio.file.Path
+
+private val hashPattern = Regex("[0-9a-f]{64}")
+
+/** Returns the commands on callers' keys. */
+internal fun keyCommands(environment: CommandEnvironment): CommandGroup =
+    CommandGroup("key", "Grants and withdraws callers' keys, read from a file or the standard input.")
+        .subcommands(KeyGrantCommand(environment), KeyWithdrawCommand(environment))
+
+private class KeyGrantCommand(
+    environment: CommandEnvironment,
+) : EditCommand(environment, "grant", "Lets a key act for a workspace; only its hash is kept.") {
+    private val workspace by argument(help = "Name of the workspace")
+    private val keyFile by option("--key-file", help = KEY_FILE_HELP).path()
+
+    override fun editOf(lists: OperatorLists): Either<CliError, ListEdit> =
+        environment.readKey(keyFile).map { ListEdit.GrantKey(WorkspaceId(workspace), it.hash) }
+}
+
+private class KeyWithdrawCommand(
+    environment: CommandEnvironment,
+) : EditCommand(environment, "withdraw", "Stops a key from acting for a workspace.") {
+    private val workspace by argument(help = "Name of the workspace")
+    private val keyFile by option("--key-file", help = KEY_FILE_HELP).path()
+    private val keyHash by option("--key-hash", help = "Hash of the key, as the customer list shows it, instead of the key")
+
+    override fun editOf(lists: OperatorLists): Either<CliError, ListEdit> = hash().map { ListEdit.WithdrawKey(WorkspaceId(workspace), it) }
+
+    private fun hash(): Either<CliError, KeyHash> {
+        val hex = keyHash ?: return environment.readKey(keyFile).map { it.hash }
+        return if (hashPattern.matches(hex)) {
+            KeyHash(hex).right()
+        } else {
+            CliError.Usage("the key hash is not 64 lower-case hexadecimal digits: copy it from the customer list").left()
+        }
+    }
+}
+
+internal const val KEY_FILE_HELP: String = "File with the key; without it the key is read from the standard input"
+
+/** Reads a caller's key from [file], or from the input if there is none. */
+internal fun CommandEnvironment.readKey(file: Path?): Either<CliError, CallerKey> =
+    if (file == null) CallerKey.parse(readKeyFromInput()) else CallerKey.readFile(file)
--- /dev/null
+++ b/kumquatmill-cli/src/main/kotlin/io/kumquatmill/cli/command/PlanCommands.kt
@@ -0,0 +1,80 @@
+package io.kumquatmill.cli.command
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.raise.either
+import arrow.core.right
+import com.github.ajalt.clikt.core.subcommands
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.options.multiple
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.double
+import com.github.ajalt.clikt.parameters.types.int
+import io.kumquatmill.cli.CommandEnvironment
+import io.kumquatmill.cli.edit.readLists
+import io.kumquatmill.cli.error.CliError
+import io.kumquatmill.cli.output.Table
+import io.kumquatmill.common.id.PlanId
+import io.kumquatmill.common.id.RouteId
+import io.kumquatmill.configuration.edit.ListEdit
+import io.kumquatmill.configuration.model.OperatorLists
+import io.kumquatmill.configuration.model.Plan
+
+/** Returns the commands on the list of plans. */
+internal fun planCommands(environment: CommandEnvironment): CommandGroup =
+    CommandGroup("plan", "Lists and edits the plans: what their workspaces may use in rate, burst and routes.")
+        .subcommands(PlanListCommand(environment), PlanSetCommand(environment), PlanRemoveCommand(environment))
+
+private class PlanListCommand(
+    environment: CommandEnvironment,
+) : LeafCommand(environment, "list", "Prints all plans.") {
+    override fun execute(options: ResolvedOptions): Either<CliError, Unit> =
+        either {
+            val stored = openStore(options).bind().readLists().bind()
+            print(options, stored.lists.plans) { table(stored.lists.plans) }
+        }
+
+    private fun table(plans: List<Plan>): Table =
+        Table(
+            listOf("PLAN", "RATE-PER-S", "BURST", "WEIGHT", "ROUTES"),
+            plans.map { plan ->
+                listOf(
+                    plan.id.value,
+                    plan.ratePerS.toString(),
+                    plan.burst.toString(),
+                    plan.weight.toString(),
+                    plan.routes.joinToString(","),
+                )
+            },
+        )
+}
+
+private class PlanSetCommand(
+    environment: CommandEnvironment,
+) : EditCommand(environment, "set", "Adds a plan or changes the given fields of one.") {
+    private val plan by argument(help = "Name of the plan")
+    private val ratePerS by option("--rate-per-s", help = "Requests per second over all hosts together").double()
+    private val burst by option("--burst", help = "Requests that may come at once").int()
+    private val weight by option("--weight", help = "Share in queues when capacity is short").int()
+    private val routes by option("--route", help = "Route that the plan may use; repeatable, replaces all routes").multiple()
+
+    override fun editOf(lists: OperatorLists): Either<CliError, ListEdit> {
+        val id = PlanId(plan)
+        val current = lists.plans.find { it.id == id }
+        val newRatePerS = ratePerS ?: current?.ratePerS
+        val newBurst = burst ?: current?.burst
+        val newRoutes = routes.map(::RouteId).toSet().ifEmpty { current?.routes.orEmpty() }
+        if (newRatePerS == null || newBurst == null || newRoutes.isEmpty()) {
+            return CliError.Usage("plan '$plan' is new: give --rate-per-s, --burst and --route").left()
+        }
+        return ListEdit.SetPlan(Plan(id, newRatePerS, newBurst, newRoutes, weight ?: current?.weight ?: 1)).right()
+    }
+}
+
+private class PlanRemoveCommand(
+    environment: CommandEnvironment,
+) : EditCommand(environment, "remove", "Removes a plan that no customer is on.") {
+    private val plan by argument(help = "Name of the plan")
+
+    override fun editOf(lists: OperatorLists): Either<CliError, ListEdit> = ListEdit.RemovePlan(PlanId(plan)).right()
+}
