Measure store call rates and run several worker groups in one process

Cause: a workspace's rate counts over all upstreams, so its windows can only be checked when the workers of both services share one log; and the store's rates are bounded, so tests need the peak and not only the total.

Change: worker-standin takes groups of workers; arrivals carry the caller's idempotency key; the platform stand-in measures peak reads and writes within a second and wakes watches only when something changed.

Found by a test: counters came in an order that changed from run to run.

--- a/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/KeyValueStandin.kt
+++ b/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/KeyValueStandin.kt
@@ -11,6 +11,7 @@
 import io.kumquatmill.store.StoreError
 import io.kumquatmill.store.StoreReply
 import io.kumquatmill.store.kind
+import java.util.EnumMap
 import java.util.TreeMap
 
 /**
@@ -35,10 +36,15 @@
     val callCounts: Map<StoreCallKind, Long>
         get() = counts.toMap()
 
+    /** Most calls within one second so far. */
+    val peakRates: PeakRates
+        get() = meter.peak
+
     private val entries = TreeMap<String, StoredValue>()
     private val leases = HashMap<LeaseId, Lease>()
     private val changeLog = ChangeLog(changeLogCapacity)
-    private val counts = HashMap<StoreCallKind, Long>()
+    private val counts = EnumMap<StoreCallKind, Long>(StoreCallKind::class.java)
+    private val meter = CallMeter()
     private var lastLeaseId = 0L
 
     /** Makes the answers of the next [count] writes get lost after the writes took effect. */
@@ -52,6 +58,7 @@
         call: StoreCall,
     ): Either<StoreError, StoreReply> {
         counts.merge(call.kind, 1L, Long::plus)
+        meter.record(nowMs, call.kind.isWrite)
         return when {
             faults.isDown -> StoreError.Unavailable("it is down").left()
             faults.isSilent -> StoreError.Unknown("it does not answer").left()
--- a/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/PlatformRoutes.kt
+++ b/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/PlatformRoutes.kt
@@ -35,6 +35,7 @@
         "/control/hosts/{host}" bind DELETE to { request -> editHost(state, clock, request, listed = null) },
         "/control/host-list-lag-ms/{lagMs}" bind PUT to { request -> putLag(state, request) },
         "/control/counters" bind GET to { readCounters(state) },
+        "/control/peak-rates" bind GET to { jsonResponse(state.withStore { it.peakRates }) },
     )
 
 private fun readHosts(
--- a/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/PlatformState.kt
+++ b/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/PlatformState.kt
@@ -17,11 +17,13 @@
     /** Makes all connections that have carried a request so far silent for good. */
     fun silenceConnections() = connections.silence()
 
-    /** Runs [block] alone on the store, and wakes waiting watches. */
+    /** Runs [block] alone on the store, and wakes waiting watches if it changed something. */
     fun <T> withStore(block: (KeyValueStandin) -> T): T =
         lock.withLock {
+            val revisionBefore = store.revision
+            val faultsBefore = store.faults
             val result = block(store)
-            changed.signalAll()
+            if (store.revision != revisionBefore || store.faults != faultsBefore) changed.signalAll()
             result
         }
 
--- a/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/worker/Main.kt
+++ b/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/worker/Main.kt
@@ -3,7 +3,9 @@
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.parameters.options.convert
 import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.multiple
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.double
 import com.github.ajalt.clikt.parameters.types.int
@@ -20,6 +22,11 @@
     private val namePrefix by option(help = "Workers are called PREFIX-1, PREFIX-2, ...").default("worker")
     private val slots by option(help = "Requests that a worker serves at a time").int().default(7)
     private val serviceMs by option(help = "Mean service time").double().default(20.0)
+    private val groups by option(
+        "--group",
+        metavar = "NAME:COUNT:SLOTS:SERVICE_MS",
+        help = "Workers of one upstream, instead of --workers, --name-prefix, --slots and --service-ms; repeatable",
+    ).convert { WorkerGroup.parse(it) ?: fail("give NAME:COUNT:SLOTS:SERVICE_MS") }.multiple()
     private val spread by option(help = "Spread of the service time, as a part of it").double().default(0.5)
     private val seed by option(help = "Seed of the service times").int().default(1)
     private val coldStartMs by option(help = "How long a worker is slow after its start").long().default(0)
@@ -32,25 +39,36 @@
         val runLog = RunLog()
         val headerLog = HeaderLog()
         val servers =
-            (1..workers).map { number ->
-                WorkerStandinServer(settingsOf(number), runLog, headerLog, ip, portOf(number))
+            allSettings().mapIndexed { index, settings ->
+                WorkerStandinServer(settings, runLog, headerLog, ip, portOf(index))
             }
         announce(servers.map { it.address }, portFile)
     }
 
-    private fun settingsOf(number: Int): WorkerSettings =
+    private fun allSettings(): List<WorkerSettings> {
+        val allGroups = groups.ifEmpty { listOf(WorkerGroup(namePrefix, workers, slots, serviceMs)) }
+        return allGroups
+            .flatMap { group -> (1..group.count).map { number -> group to number } }
+            .mapIndexed { index, (group, number) -> settingsOf(group, number, seed + index) }
+    }
+
+    private fun settingsOf(
+        group: WorkerGroup,
+        number: Int,
+        workerSeed: Int,
+    ): WorkerSettings =
         workerSettings {
-            name = "$namePrefix-$number"
-            slots = this@WorkerStandinCommand.slots
-            serviceMs = this@WorkerStandinCommand.serviceMs
+            name = "${group.name}-$number"
+            slots = group.slots
+            serviceMs = group.serviceMs
+            seed = workerSeed
             spread = this@WorkerStandinCommand.spread
-            seed = this@WorkerStandinCommand.seed + number
             coldStartMs = this@WorkerStandinCommand.coldStartMs
             coldFactor = this@WorkerStandinCommand.coldFactor
             answerBytes = this@WorkerStandinCommand.answerBytes
         }
 
-    private fun portOf(number: Int): Int = if (port == 0) 0 else port + number - 1
+    private fun portOf(index: Int): Int = if (port == 0) 0 else port + index
 }
 
 /** Entry point of the program `worker-standin`. */
--- a/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/worker/RunLog.kt
+++ b/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/worker/RunLog.kt
@@ -26,6 +26,7 @@
 data class Arrival(
     val requestId: String,
     val workspace: String?,
+    val idempotencyKey: String?,
     val worker: String,
     val method: String,
     val path: String,
--- a/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/worker/WorkerRequestHandler.kt
+++ b/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/worker/WorkerRequestHandler.kt
@@ -117,6 +117,7 @@
         Arrival(
             requestId = requestId.orEmpty(),
             workspace = header(HeaderNames.WORKSPACE),
+            idempotencyKey = header(HeaderNames.IDEMPOTENCY_KEY),
             worker = state.settings.name,
             method = requestMethod.toString(),
             path = requestPath,
