Tell cut requests from runs, and list the drains

Cause: a request whose connection broke inside its body counted as a run at the worker stand-in, which would have shown a false double run. Operators could not see what is asked to drain.

Change: such arrivals end as INCOMPLETE and are no runs; the command `drains`; a read of the store that times out says that nothing was written.

--- a/kumquatmill-cli/src/main/kotlin/io/kumquatmill/cli/Kumquatctl.kt
+++ b/kumquatmill-cli/src/main/kotlin/io/kumquatmill/cli/Kumquatctl.kt
@@ -10,6 +10,7 @@
 import com.github.ajalt.mordant.terminal.Terminal
 import io.kumquatmill.cli.command.ArgumentsUnprinted
 import io.kumquatmill.cli.command.DrainCommand
+import io.kumquatmill.cli.command.DrainsCommand
 import io.kumquatmill.cli.command.StatusCommand
 import io.kumquatmill.cli.command.TopCommand
 import io.kumquatmill.cli.command.UndrainCommand
@@ -52,4 +53,5 @@
         WaitInForceCommand(environment),
         DrainCommand(environment),
         UndrainCommand(environment),
+        DrainsCommand(environment),
     )
--- a/kumquatmill-cli/src/main/kotlin/io/kumquatmill/cli/command/DrainCommands.kt
+++ b/kumquatmill-cli/src/main/kotlin/io/kumquatmill/cli/command/DrainCommands.kt
@@ -43,6 +43,18 @@
         }
 }
 
+/** Prints what is asked to drain. */
+internal class DrainsCommand(
+    environment: CommandEnvironment,
+) : LeafCommand(environment, "drains", "Prints the hosts and upstreams that are asked to drain.") {
+    override fun execute(options: ResolvedOptions): Either<CliError, Unit> =
+        either {
+            val names = DrainRequests(openStore(options).bind()).list().bind()
+            val states = names.map { DrainState(it, isDrainRequested = true) }
+            print(options, states) { Table(listOf("NAME"), names.map { listOf(it) }) }
+        }
+}
+
 /** Whether a host or an upstream is asked to drain. */
 @Serializable
 internal data class DrainState(
--- a/kumquatmill-cli/src/main/kotlin/io/kumquatmill/cli/drain/DrainRequests.kt
+++ b/kumquatmill-cli/src/main/kotlin/io/kumquatmill/cli/drain/DrainRequests.kt
@@ -13,6 +13,7 @@
 import io.kumquatmill.store.compareAndSwap
 import io.kumquatmill.store.delete
 import io.kumquatmill.store.read
+import io.kumquatmill.store.readPrefix
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 
@@ -29,6 +30,13 @@
     /** Asks for [name] to be drained. */
     fun request(name: String): Either<CliError, Unit> = DrainChange(store, name, isRequested = true).run()
 
+    /** Returns the names that are asked to drain. */
+    fun list(): Either<CliError, List<String>> =
+        store
+            .readPrefix(StoreKeys.DRAIN_PREFIX)
+            .mapLeft(CliError::Store)
+            .map { reply -> reply.entries.map { it.key.removePrefix(StoreKeys.DRAIN_PREFIX) } }
+
     /** Takes back the request to drain [name]. */
     fun withdraw(name: String): Either<CliError, Unit> = DrainChange(store, name, isRequested = false).run()
 }
--- a/kumquatmill-cli/src/main/kotlin/io/kumquatmill/cli/error/CliError.kt
+++ b/kumquatmill-cli/src/main/kotlin/io/kumquatmill/cli/error/CliError.kt
@@ -23,11 +23,16 @@
         override val exitCode: ExitCode = exitCodeOf(error)
     }
 
-    /** A call of the store failed. */
+    /** A call of the store failed and wrote nothing. */
     data class Store(
         val error: StoreError,
     ) : CliError {
-        override val message: String = error.message
+        override val message: String =
+            if (error is StoreError.Unknown) {
+                "the key-value service did not answer (${error.detail}), nothing was written: try again later"
+            } else {
+                error.message
+            }
         override val exitCode: ExitCode = ExitCode.UNREACHABLE
     }
 
--- a/kumquatmill-cli/src/test/kotlin/io/kumquatmill/cli/command/DrainCommandsTest.kt
+++ b/kumquatmill-cli/src/test/kotlin/io/kumquatmill/cli/command/DrainCommandsTest.kt
@@ -19,6 +19,14 @@
     fun `a drain is requested once and taken back once`() {
         repeat(2) { assertEquals(0, fixture.run("drain", "h1").statusCode) }
         assertEquals("""{"name":"h1"}""", fixture.storedValue("drain/h1"))
+        assertEquals(
+            listOf("NAME", "h1"),
+            fixture
+                .run("drains")
+                .stdout
+                .trim()
+                .lines(),
+        )
         repeat(2) { assertEquals(0, fixture.run("undrain", "h1").statusCode) }
         assertEquals(null, fixture.storedValue("drain/h1"))
         assertEquals(2, revision())
--- a/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/worker/RunLog.kt
+++ b/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/worker/RunLog.kt
@@ -11,6 +11,9 @@
     /** The request was refused as not run, for want of a slot or because the worker is leaving. */
     NOT_RUN,
 
+    /** The connection broke before the request was complete; it did not run. */
+    INCOMPLETE,
+
     /** The request was given up while it ran, since its connection was closed. */
     CANCELLED,
 
@@ -19,6 +22,12 @@
 
     /** The request is still running. */
     RUNNING,
+
+    ;
+
+    /** Whether the request started to run. */
+    val hasRun: Boolean
+        get() = this != NOT_RUN && this != INCOMPLETE
 }
 
 /** One arrival of a request at a worker; [arrivedAtUs] counts from an arbitrary origin. */
@@ -71,7 +80,7 @@
         arrivals()
             .filter { workspace == null || it.workspace == workspace }
             .groupBy { it.requestId }
-            .map { (id, group) -> RequestRuns(id, group, group.count { it.end != RunEnd.NOT_RUN }) }
+            .map { (id, group) -> RequestRuns(id, group, group.count { it.end.hasRun }) }
 
     /** Returns whether the arrivals of [workspace] stay within rate x window + burst in every window. */
     fun checkWindows(
--- a/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/worker/WorkerAnswer.kt
+++ b/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/worker/WorkerAnswer.kt
@@ -23,7 +23,7 @@
 
 /** Answers that the request did not run. */
 internal fun HttpServerExchange.refuseNotRun(
-    requestId: String?,
+    requestId: String,
     isDraining: Boolean,
 ) {
     refuse(requestId, StatusCodes.SERVICE_UNAVAILABLE, outcome = "not-run")
@@ -34,7 +34,7 @@
 }
 
 /** Answers that the request was given up at its deadline, after it had started. */
-internal fun HttpServerExchange.refuseTimedOut(requestId: String?) {
+internal fun HttpServerExchange.refuseTimedOut(requestId: String) {
     refuse(requestId, StatusCodes.GATEWAY_TIME_OUT, outcome = "unknown")
 }
 
@@ -68,11 +68,11 @@
 }
 
 private fun HttpServerExchange.refuse(
-    requestId: String?,
+    requestId: String,
     status: Int,
     outcome: String,
 ) {
     statusCode = status
-    requestId?.let { responseHeaders.put(requestIdHeader, it) }
+    responseHeaders.put(requestIdHeader, requestId)
     responseHeaders.put(HttpString(HeaderNames.OUTCOME), outcome)
 }
--- a/kumquatmill-standins/src/test/kotlin/io/kumquatmill/standins/worker/WorkerStandinServerTest.kt
+++ b/kumquatmill-standins/src/test/kotlin/io/kumquatmill/standins/worker/WorkerStandinServerTest.kt
@@ -5,6 +5,7 @@
 import okhttp3.Request
 import okhttp3.Response
 import java.io.IOException
+import java.net.Socket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import kotlin.test.AfterTest
@@ -119,6 +120,22 @@
         assertEquals(RunEnd.TIMED_OUT, endOf("r1"))
     }
 
+    @Test
+    fun `a request whose connection breaks before its end does not run`() {
+        Socket(server.address.ip, server.address.port).use { socket ->
+            val head = "POST /orders HTTP/1.1\r\nHost: worker\r\n${HeaderNames.REQUEST_ID}: r1\r\nContent-Length: 100\r\n\r\nhalf"
+            socket.getOutputStream().write(head.toByteArray())
+            while (runLog.arrivals().isEmpty()) {
+                Thread.onSpinWait()
+            }
+        }
+        while (endOf("r1") == RunEnd.RUNNING) {
+            Thread.onSpinWait()
+        }
+        assertEquals(RunEnd.INCOMPLETE, endOf("r1"))
+        assertEquals(listOf(0), runLog.runs().map { it.runs })
+    }
+
     @Test
     fun `a leaving worker refuses as not run and says so`() {
         state.isDraining = true
