--- a/kumquatmill-standins/src/test/kotlin/io/kumquatmill/platform/HttpStoreClientTest.kt
+++ b/kumquatmill-standins/src/test/kotlin/io/kumquatmill/platform/HttpStoreClientTest.kt
@@ -24,11 +24,14 @@
     private val measurements = CopyOnWriteArrayList<PlatformCallMeasurement>()
     private val client = clientOf(standin.address)
 
-    private fun clientOf(vararg addresses: HostAddress): HttpStoreClient {
+    private fun clientOf(
+        vararg addresses: HostAddress,
+        timeoutMs: Long = 10_000,
+    ): HttpStoreClient {
         val settings =
             platformSettings {
                 addresses.forEach(::address)
-                callTimeoutMs = 400
+                callTimeoutMs = timeoutMs
             }
         return HttpStoreClient(settings, observe = { measurements += it })
     }
@@ -113,7 +116,7 @@
     @Test
     fun `a silent service leaves the outcome unknown at the timeout`() {
         standin.state.withStore { it.faults = StoreFaults(isSilent = true) }
-        assertIs<StoreError.Unknown>(client.compareAndSwap("a", 0, "x").leftOrNull())
+        assertIs<StoreError.Unknown>(clientOf(standin.address, timeoutMs = 200).compareAndSwap("a", 0, "x").leftOrNull())
     }
 
     @Test
@@ -128,7 +131,7 @@
     @Test
     fun `a slow write may take effect after the client has given up`() {
         standin.state.withStore { it.faults = StoreFaults(delayMs = 600) }
-        assertIs<StoreError.Unknown>(client.compareAndSwap("a", 0, "x").leftOrNull())
+        assertIs<StoreError.Unknown>(clientOf(standin.address, timeoutMs = 200).compareAndSwap("a", 0, "x").leftOrNull())
         standin.state.withStore { it.faults = StoreFaults() }
         assertEquals(
             listOf("x"),
--- a/kumquatmill-standins/src/test/kotlin/io/kumquatmill/standins/platform/PlatformStandinServerTest.kt
+++ b/kumquatmill-standins/src/test/kotlin/io/kumquatmill/standins/platform/PlatformStandinServerTest.kt
@@ -18,7 +18,7 @@
 class PlatformStandinServerTest {
     private val server = PlatformStandinServer()
     private val http = JavaHttpClient()
-    private val client = HttpStoreClient(PlatformSettings(listOf(server.address), callTimeoutMs = 1_000))
+    private val client = HttpStoreClient(PlatformSettings(listOf(server.address), callTimeoutMs = 10_000))
 
     @AfterTest
     fun close() {
@@ -54,7 +54,7 @@
         val lease = client.grantLease(60_000).getOrNull()!!.lease
         val written = client.compareAndSwap("a", 0, "x", lease).getOrNull()!!.revision
         control(Method.POST, "/control/leases/${lease.value}/expire")
-        val changes = client.watch("a", written, 1_000).getOrNull()?.changes
+        val changes = client.watch("a", written, 10_000).getOrNull()?.changes
         assertEquals(listOf(null), changes?.map { it.value })
     }
 
@@ -62,7 +62,7 @@
     fun `a lease lapses on time while no call arrives`() {
         val lease = client.grantLease(100).getOrNull()!!.lease
         val written = client.compareAndSwap("a", 0, "x", lease).getOrNull()!!.revision
-        val changes = client.watch("a", written, 800).getOrNull()?.changes
+        val changes = client.watch("a", written, 10_000).getOrNull()?.changes
         assertEquals(listOf(null), changes?.map { it.value })
     }
 
--- a/kumquatmill-standins/src/test/kotlin/io/kumquatmill/standins/worker/WorkerStandinServerTest.kt
+++ b/kumquatmill-standins/src/test/kotlin/io/kumquatmill/standins/worker/WorkerStandinServerTest.kt
@@ -14,7 +14,8 @@
 import kotlin.test.assertFailsWith
 import kotlin.test.assertTrue
 
-private const val CALL_TIMEOUT_MS = 2_000L
+private const val CALL_TIMEOUT_MS = 10_000L
+private const val SHORT_CALL_TIMEOUT_MS = 300L
 
 class WorkerStandinServerTest {
     private val runLog = RunLog()
@@ -184,7 +185,8 @@
     fun `connections from before the fault stay silent and new ones work`() {
         send("r1")
         state.silenceConnections()
-        assertFailsWith<IOException> { send("r2") }
+        val impatient = client.newBuilder().callTimeout(SHORT_CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS).build()
+        assertFailsWith<IOException> { impatient.newCall(request("r2")).execute() }
         assertEquals(200, send("r3").code)
         assertEquals(listOf("r1", "r3"), runLog.arrivals().map { it.requestId })
     }
