--- a/kumquatmill-platform/src/main/kotlin/io/kumquatmill/platform/PlatformSettings.kt
+++ b/kumquatmill-platform/src/main/kotlin/io/kumquatmill/platform/PlatformSettings.kt
@@ -33,13 +33,14 @@
     private val addresses = mutableListOf<HostAddress>()
     var connectTimeoutMs: Long = PlatformSettings.DEFAULT_CONNECT_TIMEOUT_MS
     var callTimeoutMs: Long = PlatformSettings.DEFAULT_CALL_TIMEOUT_MS
+    var maxIdleConnections: Int = PlatformSettings.DEFAULT_MAX_IDLE_CONNECTIONS
 
     /** Adds an address of the platform. */
     fun address(address: HostAddress) {
         addresses += address
     }
 
-    internal fun build(): PlatformSettings = PlatformSettings(addresses.toList(), connectTimeoutMs, callTimeoutMs)
+    internal fun build(): PlatformSettings = PlatformSettings(addresses.toList(), connectTimeoutMs, callTimeoutMs, maxIdleConnections)
 }
 
 /** Returns settings with the given addresses and changes to the defaults. */
--- a/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/http/Json.kt
+++ b/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/http/Json.kt
@@ -1,6 +1,7 @@
 package io.kumquatmill.standins.http
 
 import kotlinx.serialization.json.Json
+import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
 
@@ -10,6 +11,20 @@
         encodeDefaults = true
     }
 
+/** Decodes the body as [T], or returns null if it is not. */
+internal inline fun <reified T> Request.jsonBodyOrNull(): T? =
+    try {
+        standinJson.decodeFromString<T>(bodyString())
+    } catch (_: IllegalArgumentException) {
+        null
+    }
+
+/** Runs [action] and returns an empty answer. */
+internal fun emptyResponse(action: () -> Unit): Response {
+    action()
+    return Response(Status.NO_CONTENT)
+}
+
 /** Returns a response with [value] as JSON. */
 internal inline fun <reified T> jsonResponse(
     value: T,
--- a/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/PlatformRoutes.kt
+++ b/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/PlatformRoutes.kt
@@ -3,8 +3,9 @@
 import io.kumquatmill.common.id.HostId
 import io.kumquatmill.common.time.MonotonicClock
 import io.kumquatmill.platform.HostListWire
+import io.kumquatmill.standins.http.emptyResponse
+import io.kumquatmill.standins.http.jsonBodyOrNull
 import io.kumquatmill.standins.http.jsonResponse
-import io.kumquatmill.standins.http.standinJson
 import io.kumquatmill.store.HostListState
 import io.kumquatmill.store.LeaseId
 import org.http4k.core.HttpHandler
@@ -29,7 +30,7 @@
         "/control/faults" bind GET to { jsonResponse(state.withStore { it.faults }) },
         "/control/faults" bind PUT to { request -> putFaults(state, request) },
         "/control/lose-answers/{count}" bind POST to { request -> loseAnswers(state, request) },
-        "/control/silence" bind POST to { silence(state) },
+        "/control/silence" bind POST to { emptyResponse { state.silenceConnections() } },
         "/control/leases/{id}/expire" bind POST to { request -> expireLease(state, request) },
         "/control/hosts/{host}/{state}" bind PUT to { request -> putHost(state, clock, request) },
         "/control/hosts/{host}" bind DELETE to { request -> editHost(state, clock, request, listed = null) },
@@ -50,7 +51,7 @@
     state: PlatformState,
     request: Request,
 ): Response {
-    val faults = standinJson.decodeFromString<StoreFaults>(request.bodyString())
+    val faults = request.jsonBodyOrNull<StoreFaults>() ?: return Response(Status.BAD_REQUEST).body("the body is no fault setting")
     state.withStore { it.faults = faults }
     return jsonResponse(faults)
 }
@@ -60,13 +61,7 @@
     request: Request,
 ): Response {
     val count = request.path("count")?.toIntOrNull() ?: return Response(Status.BAD_REQUEST)
-    state.withStore { it.loseNextAnswer(count) }
-    return Response(Status.NO_CONTENT)
-}
-
-private fun silence(state: PlatformState): Response {
-    state.silenceConnections()
-    return Response(Status.NO_CONTENT)
+    return emptyResponse { state.withStore { it.loseNextAnswer(count) } }
 }
 
 private fun expireLease(
@@ -74,8 +69,7 @@
     request: Request,
 ): Response {
     val id = request.path("id")?.toLongOrNull() ?: return Response(Status.BAD_REQUEST)
-    state.withStore { it.expireLease(LeaseId(id)) }
-    return Response(Status.NO_CONTENT)
+    return emptyResponse { state.withStore { it.expireLease(LeaseId(id)) } }
 }
 
 private fun putHost(
@@ -95,8 +89,7 @@
     listed: HostListState?,
 ): Response {
     val host = HostId(request.path("host").orEmpty())
-    state.withHostList { it.edit(clock.nowMs(), host, listed) }
-    return Response(Status.NO_CONTENT)
+    return emptyResponse { state.withHostList { it.edit(clock.nowMs(), host, listed) } }
 }
 
 private fun putLag(
@@ -104,8 +97,7 @@
     request: Request,
 ): Response {
     val lagMs = request.path("lagMs")?.toLongOrNull() ?: return Response(Status.BAD_REQUEST)
-    state.withHostList { it.lagMs = lagMs }
-    return Response(Status.NO_CONTENT)
+    return emptyResponse { state.withHostList { it.lagMs = lagMs } }
 }
 
 private fun readCounters(state: PlatformState): Response =
--- a/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/worker/WorkerRoutes.kt
+++ b/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/worker/WorkerRoutes.kt
@@ -1,7 +1,8 @@
 package io.kumquatmill.standins.worker
 
+import io.kumquatmill.standins.http.emptyResponse
+import io.kumquatmill.standins.http.jsonBodyOrNull
 import io.kumquatmill.standins.http.jsonResponse
-import io.kumquatmill.standins.http.standinJson
 import kotlinx.serialization.Serializable
 import org.http4k.core.HttpHandler
 import org.http4k.core.Method.DELETE
@@ -37,10 +38,10 @@
         "/control/faults" bind PUT to { request -> putFaults(state, request) },
         "/control/drain" bind POST to { setDraining(state, isDraining = true) },
         "/control/undrain" bind POST to { setDraining(state, isDraining = false) },
-        "/control/cold" bind POST to { done(state.restartCold()) },
-        "/control/silence" bind POST to { done(state.silenceConnections()) },
+        "/control/cold" bind POST to { emptyResponse { state.restartCold() } },
+        "/control/silence" bind POST to { emptyResponse { state.silenceConnections() } },
         "/control/runs" bind GET to { request -> jsonResponse(state.runLog.runs(request.query("workspace"))) },
-        "/control/runs" bind DELETE to { done(state.runLog.clear()) },
+        "/control/runs" bind DELETE to { emptyResponse { state.runLog.clear() } },
         "/control/window-check" bind GET to { request -> checkWindows(state, request) },
         "/control/headers" bind GET to { jsonResponse(state.headerLog.names()) },
         "/control/headers/search" bind POST to { request -> searchHeaders(state, request) },
@@ -50,7 +51,7 @@
     state: WorkerState,
     request: Request,
 ): Response {
-    state.faults = standinJson.decodeFromString<WorkerFaults>(request.bodyString())
+    state.faults = request.jsonBodyOrNull<WorkerFaults>() ?: return Response(Status.BAD_REQUEST).body("the body is no fault setting")
     return jsonResponse(state.faults)
 }
 
@@ -62,10 +63,6 @@
     return jsonResponse(state.load())
 }
 
-private fun done(
-    @Suppress("UNUSED_PARAMETER") action: Unit,
-): Response = Response(Status.NO_CONTENT)
-
 private fun checkWindows(
     state: WorkerState,
     request: Request,
--- a/kumquatmill-standins/src/test/kotlin/io/kumquatmill/standins/platform/PlatformStandinServerTest.kt
+++ b/kumquatmill-standins/src/test/kotlin/io/kumquatmill/standins/platform/PlatformStandinServerTest.kt
@@ -49,6 +49,14 @@
         )
     }
 
+    @Test
+    fun `a fault setting that can't be understood is refused and changes nothing`() {
+        val request = Request(Method.PUT, "http://${server.address}/control/faults")
+        val statuses = listOf("""{"isDwon":true}""", "{").map { http(request.body(it)).status.code }
+        assertEquals(listOf(400, 400), statuses)
+        assertEquals(true, client.read("a").isRight())
+    }
+
     @Test
     fun `a lease that is made to lapse over HTTP takes its entries with it`() {
         val lease = client.grantLease(60_000).getOrNull()!!.lease
