Bound the store stand-in's call rates and let its host list go down

Cause: the store takes several hundred writes and about two thousand reads a second, and the host list can fail apart from it; neither could be shown.

--- a/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/CallMeter.kt
+++ b/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/CallMeter.kt
@@ -17,17 +17,18 @@
     var peak = PeakRates()
         private set
 
-    /** Counts a call at [nowMs]. */
+    /** Counts a call at [nowMs], and returns how many of its kind came within the last second. */
     fun record(
         nowMs: Long,
         isWrite: Boolean,
-    ) {
+    ): Int {
         val times = if (isWrite) writeTimesMs else readTimesMs
         times.addLast(nowMs)
         while (times.first() <= nowMs - WINDOW_MS) {
             times.removeFirst()
         }
         peak = PeakRates(maxOf(peak.readsPerS, readTimesMs.size), maxOf(peak.writesPerS, writeTimesMs.size))
+        return times.size
     }
 
     private companion object {
--- a/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/HostListStandin.kt
+++ b/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/HostListStandin.kt
@@ -12,6 +12,9 @@
 class HostListStandin(
     var lagMs: Long = 0,
 ) {
+    /** Whether readers get no list at all. */
+    var isDown: Boolean = false
+
     private val versions = ArrayDeque<Version>()
     private var current: Map<HostId, HostListState> = emptyMap()
 
--- a/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/KeyValueStandin.kt
+++ b/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/KeyValueStandin.kt
@@ -58,8 +58,9 @@
         call: StoreCall,
     ): Either<StoreError, StoreReply> {
         counts.merge(call.kind, 1L, Long::plus)
-        meter.record(nowMs, call.kind.isWrite)
+        val callsPerS = meter.record(nowMs, call.kind.isWrite)
         return when {
+            callsPerS > maxCallsPerS(call) -> StoreError.Unavailable("it is overloaded").left()
             faults.isDown -> StoreError.Unavailable("it is down").left()
             faults.isSilent -> StoreError.Unknown("it does not answer").left()
             else -> executeAnswered(nowMs, call)
@@ -104,6 +105,11 @@
         return StoreError.Unknown("the answer was lost").left()
     }
 
+    private fun maxCallsPerS(call: StoreCall): Int {
+        val bound = if (call.kind.isWrite) faults.maxWritesPerS else faults.maxReadsPerS
+        return bound ?: Int.MAX_VALUE
+    }
+
     private fun losesAnswerOf(call: StoreCall): Boolean = faults.answersToLose > 0 && (call.kind.isWrite || !faults.losesOnlyWrites)
 
     private fun answer(
--- a/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/PlatformRoutes.kt
+++ b/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/PlatformRoutes.kt
@@ -35,6 +35,8 @@
         "/control/hosts/{host}/{state}" bind PUT to { request -> putHost(state, clock, request) },
         "/control/hosts/{host}" bind DELETE to { request -> editHost(state, clock, request, listed = null) },
         "/control/host-list-lag-ms/{lagMs}" bind PUT to { request -> putLag(state, request) },
+        "/control/host-list/down" bind POST to { setHostListDown(state, isDown = true) },
+        "/control/host-list/up" bind POST to { setHostListDown(state, isDown = false) },
         "/control/counters" bind GET to { readCounters(state) },
         "/control/peak-rates" bind GET to { jsonResponse(state.withStore { it.peakRates }) },
     )
@@ -43,7 +45,10 @@
     state: PlatformState,
     clock: MonotonicClock,
 ): Response {
-    val entries = state.withHostList { it.read(clock.nowMs()) }
+    val entries = state.withHostList { list -> if (list.isDown) null else list.read(clock.nowMs()) }
+    if (entries == null) {
+        return Response(Status.SERVICE_UNAVAILABLE)
+    }
     return Response(Status.OK).header("Content-Type", "application/json").body(HostListWire.encode(entries))
 }
 
@@ -100,5 +105,10 @@
     return emptyResponse { state.withHostList { it.lagMs = lagMs } }
 }
 
+private fun setHostListDown(
+    state: PlatformState,
+    isDown: Boolean,
+): Response = emptyResponse { state.withHostList { it.isDown = isDown } }
+
 private fun readCounters(state: PlatformState): Response =
     jsonResponse(state.withStore { store -> store.callCounts.mapKeys { it.key.wireName } })
--- a/kumquatmill-standins/src/test/kotlin/io/kumquatmill/standins/platform/HostListStandinTest.kt
+++ b/kumquatmill-standins/src/test/kotlin/io/kumquatmill/standins/platform/HostListStandinTest.kt
@@ -5,8 +5,10 @@
 import io.kumquatmill.platform.PlatformSettings
 import io.kumquatmill.store.HostListEntry
 import io.kumquatmill.store.HostListState
+import io.kumquatmill.store.StoreError
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertIs
 
 class HostListStandinTest {
     private val host = HostId("h1")
@@ -24,12 +26,16 @@
     }
 
     @Test
-    fun `the list is read over HTTP`() {
+    fun `the list is read over HTTP while it is up`() {
         val server = PlatformStandinServer()
         server.state.withHostList { it.edit(Long.MIN_VALUE / 2, host, HostListState.LEAVING) }
         val client = HttpHostListClient(PlatformSettings(listOf(server.address)))
-        val entries = client.use { it.read() }
+        val entries = client.read()
+        server.state.withHostList { it.isDown = true }
+        val withoutList = client.read()
+        client.close()
         server.close()
         assertEquals(listOf(HostListEntry(host, HostListState.LEAVING)), entries.getOrNull())
+        assertIs<StoreError.Unavailable>(withoutList.leftOrNull())
     }
 }
--- a/kumquatmill-standins/src/test/kotlin/io/kumquatmill/standins/platform/KeyValueStandinTest.kt
+++ b/kumquatmill-standins/src/test/kotlin/io/kumquatmill/standins/platform/KeyValueStandinTest.kt
@@ -89,6 +89,14 @@
         assertEquals(listOf("k2", "k3", "k4"), changes.changes.map { it.key })
     }
 
+    @Test
+    fun `calls above the capacity are refused until the second is over`() {
+        store.faults = StoreFaults(maxWritesPerS = 2)
+        val results = listOf(0L, 1L, 2L, 1_002L).mapIndexed { index, nowMs -> write("k$index", 0, "v", nowMs = nowMs) }
+        assertEquals(listOf(true, true, false, true), results.map { it.isRight() })
+        assertEquals(null, read("k2"))
+    }
+
     @Test
     fun `each call is counted by kind`() {
         write("a", 0, "1")
