--- a/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/KeyValueStandin.kt
+++ b/kumquatmill-standins/src/main/kotlin/io/kumquatmill/standins/platform/KeyValueStandin.kt
@@ -11,6 +11,7 @@
 import io.kumquatmill.store.StoreError
 import io.kumquatmill.store.StoreReply
 import io.kumquatmill.store.kind
+import java.util.EnumMap
 import java.util.TreeMap
 
 /**
@@ -35,10 +36,15 @@
     val callCounts: Map<StoreCallKind, Long>
         get() = counts.toMap()
 
+    /** Most calls within one second so far. */
+    val peakRates: PeakRates
+        get() = meter.peak
+
     private val entries = TreeMap<String, StoredValue>()
     private val leases = HashMap<LeaseId, Lease>()
     private val changeLog = ChangeLog(changeLogCapacity)
-    private val counts = HashMap<StoreCallKind, Long>()
+    private val counts = EnumMap<StoreCallKind, Long>(StoreCallKind::class.java)
+    private val meter = CallMeter()
     private var lastLeaseId = 0L
 
     /** Makes the answers of the next [count] writes get lost after the writes took effect. */
@@ -52,7 +58,9 @@
         call: StoreCall,
     ): Either<StoreError, StoreReply> {
         counts.merge(call.kind, 1L, Long::plus)
+        val callsPerS = meter.record(nowMs, call.kind.isWrite)
         return when {
+            callsPerS > maxCallsPerS(call) -> StoreError.Unavailable("it is overloaded").left()
             faults.isDown -> StoreError.Unavailable("it is down").left()
             faults.isSilent -> StoreError.Unknown("it does not answer").left()
             else -> executeAnswered(nowMs, call)
@@ -97,6 +105,11 @@
         return StoreError.Unknown("the answer was lost").left()
     }
 
+    private fun maxCallsPerS(call: StoreCall): Int {
+        val bound = if (call.kind.isWrite) faults.maxWritesPerS else faults.maxReadsPerS
+        return bound ?: Int.MAX_VALUE
+    }
+
     private fun losesAnswerOf(call: StoreCall): Boolean = faults.answersToLose > 0 && (call.kind.isWrite || !faults.losesOnlyWrites)
 
     private fun answer(
