Cut the messages of hosts that share a limit

First nearly all messages were repeated requests of hosts that had their fair part but not all they asked for, then terms following each change of the average demand. Change: needs follow demand in steps; recalls only when a host is short; a request is repeated to all homes twice, then only to those that gave nothing; short type names in messages.

--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/BorrowerBook.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/BorrowerBook.kt
@@ -95,7 +95,10 @@
         state.settle(nowMs, fleet.standing.validUntilMs)
         val need = if (state.isActive && !isLeaving) state.meter.neededUnits(nowMs) else 0
         val asked = if (need > state.ownUnits) need else 0
-        if (isWorthAsking(nowMs, state, asked)) ask(nowMs, state, asked)
+        when {
+            isNewNeed(state, asked) -> ask(nowMs, state, asked, state.homes)
+            isRepeatDue(nowMs, state, asked) -> repeat(nowMs, state, asked)
+        }
         state.borrowed.all.filter { it.units > 0 }.forEach { loan ->
             val keep = if (asked == 0L) 0 else loan.recalledTo ?: loan.units
             giveBack(nowMs, state, loan, keep)
@@ -139,30 +142,50 @@
         return LedgerSend(host, LedgerMessage.LoanRequest(pair.incarnation, nextNonce(nowMs, pair), needs))
     }
 
-    private fun isWorthAsking(
-        nowMs: Long,
+    private fun isNewNeed(
         state: LimitState,
         asked: Long,
     ): Boolean {
         if (asked == 0L || state.askedUnits == 0L) return asked != state.askedUnits
-        val isChanged = asked > state.askedUnits * RISE || asked < state.askedUnits * FALL
-        val isShort = state.usableUnits < asked
-        val isDue = nowMs - state.askedAtMs >= settings.renewIntervalMs
-        return isChanged || (isShort && isDue)
+        return asked > state.askedUnits * RISE || asked < state.askedUnits * FALL
     }
 
+    private fun isRepeatDue(
+        nowMs: Long,
+        state: LimitState,
+        asked: Long,
+    ): Boolean = state.usableUnits < asked && nowMs - state.askedAtMs >= settings.repeatIntervalMs
+
     private fun ask(
         nowMs: Long,
         state: LimitState,
         units: Long,
+        homes: List<HostId>,
     ) {
+        if (units != state.askedUnits) state.repeats = 0
         state.askedUnits = units
         state.askedAtMs = nowMs
-        state.homes.filter { it != fleet.self }.forEach { home ->
+        homes.filter { it != fleet.self }.forEach { home ->
             needs.getOrPut(home) { mutableListOf() } += LoanNeed(state.id, units)
         }
     }
 
+    /** Asks again, in case a request was lost; lenders that have given something know of it after a few times. */
+    private fun repeat(
+        nowMs: Long,
+        state: LimitState,
+        asked: Long,
+    ) {
+        state.repeats++
+        val isKnown = state.repeats > REPEATS_TO_ALL
+        ask(
+            nowMs,
+            state,
+            state.askedUnits.coerceAtLeast(asked),
+            state.homes.filter { !isKnown || state.borrowed[it]?.isLive(nowMs) != true },
+        )
+    }
+
     private fun adopt(
         nowMs: Long,
         state: LimitState,
@@ -243,6 +266,9 @@
         /** Change of need, relative to what was asked for, that the lenders are told of. */
         const val RISE = 1.1
         const val FALL = 0.7
+
+        /** Repetitions of a request that go to all homes; later ones go only to homes that have given nothing. */
+        const val REPEATS_TO_ALL = 2
     }
 }
 
--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LedgerMessage.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LedgerMessage.kt
@@ -2,6 +2,7 @@
 
 import io.kumquatmill.common.fleet.PeerSend
 import io.kumquatmill.common.id.Incarnation
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
 /** A [LedgerMessage] and the host that it goes to. */
@@ -18,6 +19,7 @@
 
     /** A borrower tells a lender what it needs; the lender may answer with a [LoanGrant] for [nonce], at once or later. */
     @Serializable
+    @SerialName("request")
     data class LoanRequest(
         override val to: Incarnation,
         val nonce: Long,
@@ -26,6 +28,7 @@
 
     /** A lender states loans that last [durationMs] from when the borrower sent [nonce]. */
     @Serializable
+    @SerialName("grant")
     data class LoanGrant(
         override val to: Incarnation,
         val nonce: Long,
@@ -35,6 +38,7 @@
 
     /** A borrower asks to renew all its loans of a lender; [digest] tells whether both have the same view of them. */
     @Serializable
+    @SerialName("renewal")
     data class LoanRenewal(
         override val to: Incarnation,
         val nonce: Long,
@@ -43,6 +47,7 @@
 
     /** A lender renews all loans that the borrower held when it sent [nonce]. */
     @Serializable
+    @SerialName("renewed")
     data class LoanRenewed(
         override val to: Incarnation,
         val nonce: Long,
@@ -51,6 +56,7 @@
 
     /** A lender wants units back. */
     @Serializable
+    @SerialName("recall")
     data class LoanRecall(
         override val to: Incarnation,
         val recalls: List<RecalledLoan>,
@@ -58,6 +64,7 @@
 
     /** A borrower has given units up. */
     @Serializable
+    @SerialName("return")
     data class LoanReturn(
         override val to: Incarnation,
         val returns: List<ReturnedLoan>,
--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LedgerSettings.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LedgerSettings.kt
@@ -21,7 +21,9 @@
     /** Time after the last demand at which a host gives back what it borrowed. */
     val idleReturnMs: Long = 5_000,
     /** Time after which a lender forgets a request that led to no loan and was not repeated. */
-    val wishMs: Long = 3_000,
+    val wishMs: Long = 5_000,
+    /** Interval at which a borrower repeats a request that was not met. */
+    val repeatIntervalMs: Long = 2_000,
     /** Interval at which a host compares its demand with its units, if nothing was short. */
     val reviewIntervalMs: Long = 250,
     /** Time after which a caller may come back when no better estimate is known. */
--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LenderBook.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LenderBook.kt
@@ -75,15 +75,31 @@
         if (state.lent.isEmpty() && state.lent.wishesByBorrower.isEmpty()) return
         val targets = targetsOf(nowMs, state)
         val step = max(1, state.anchor.units / SMALLEST_STEP_DIVISOR)
-        state.lent.byBorrower
-            .filterKeys { fleet.isMember(it) }
-            .forEach { (borrower, loan) -> recallExcess(nowMs, state, borrower, loan, targets[borrower.host] ?: 0, step) }
         val kept = if (isLeaving) 0 else targets[fleet.self] ?: 0
+        if (isAnyShort(nowMs, state, targets, step)) {
+            state.lent.byBorrower
+                .filterKeys { fleet.isMember(it) }
+                .forEach { (borrower, loan) -> recallExcess(nowMs, state, borrower, loan, targets[borrower.host] ?: 0, step) }
+        }
         wishingMembers(state)
             .sortedBy { borrower -> state.lent[borrower]?.liveUnits(nowMs) ?: 0 }
             .forEach { borrower -> grantMissing(nowMs, state, borrower, targets[borrower.host] ?: 0, kept, step) }
     }
 
+    /** Returns whether a host has clearly less than its fair part, so that others have to give units back. */
+    private fun isAnyShort(
+        nowMs: Long,
+        state: LimitState,
+        targets: Map<HostId, Long>,
+        step: Long,
+    ): Boolean {
+        val ownTarget = if (isLeaving) 0 else targets[fleet.self] ?: 0
+        if (ownTarget - state.ownUnits >= step) return true
+        return wishingMembers(state).any { borrower ->
+            (targets[borrower.host] ?: 0) - (state.lent[borrower]?.liveUnits(nowMs) ?: 0) >= step
+        }
+    }
+
     /** Returns the messages that are due. */
     fun drain(nowMs: Long): List<LedgerSend> {
         val sends =
@@ -240,7 +256,7 @@
 
     private companion object {
         /** Part of the own units below which a difference is not worth a message. */
-        const val SMALLEST_STEP_DIVISOR = 20
+        const val SMALLEST_STEP_DIVISOR = 10
     }
 }
 
--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LimitState.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LimitState.kt
@@ -27,6 +27,9 @@
     var askedUnits: Long = 0
     var askedAtMs: Long = Long.MIN_VALUE
 
+    /** Times that the same request was repeated. */
+    var repeats: Int = 0
+
     val spec: LimitSpec
         get() = meter.spec
 
--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/RateMeter.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/RateMeter.kt
@@ -15,6 +15,9 @@
     private val demand = DemandRate(settings.demandWindowMs)
     private var units = 0L
 
+    /** Part of the limit that was last found to be needed; it follows the demand in steps. */
+    private var steadyPart = 0.0
+
     override val tailMs: Long
         get() = 0
 
@@ -93,9 +96,13 @@
 
     override fun neededUnits(nowMs: Long): Long {
         val lastDemandAtMs = demand.lastDemandAtMs ?: return 0
-        if (nowMs - lastDemandAtMs >= settings.idleReturnMs) return 0
-        val part = demand.ratePerS(nowMs) / spec.ratePerS * RATE_HEADROOM + BURST_PART
-        val units = ceil(min(part, 1.0) * spec.totalUnits).toLong()
+        if (nowMs - lastDemandAtMs >= settings.idleReturnMs) {
+            steadyPart = 0.0
+            return 0
+        }
+        val part = demand.ratePerS(nowMs) / spec.ratePerS + BURST_PART
+        if (part > steadyPart || part < steadyPart * FALL) steadyPart = min(part * HEADROOM, 1.0)
+        val units = ceil(steadyPart * spec.totalUnits).toLong()
         return max(units, leastUsefulUnits)
     }
 
@@ -115,8 +122,11 @@
     private companion object {
         const val MILLIS_PER_SECOND = 1000.0
 
-        /** Units asked for, relative to those that the average demand needs. */
-        const val RATE_HEADROOM = 1.25
+        /** Units asked for, relative to those that are needed at the moment, so that most changes of demand need no message. */
+        const val HEADROOM = 1.3
+
+        /** Part of the units asked for below which the demand must fall before fewer are asked for. */
+        const val FALL = 0.5
 
         /** Part of the limit asked for beside the average demand, for its bursts. */
         const val BURST_PART = 0.25
