Prove membership in seeded schedules; keep members through the return of a cut region

After a cut of the store's region the hosts there evicted all others in the moment the cut healed, because their records had lapsed and the witnesses could be reached again: two regions had no standing for some ten seconds. Evictions now wait for the return grace after witnesses were out of reach, as they did after a store outage; a host that the platform's list shows gone is evicted at once.

Tests with 7 hosts in virtual time, each with a clock of its own that drifts by up to 1 %: kill, freeze, restart, planned stop, store outage and slowness, cuts of regions, a proposer that dies or wakes late, racing proposers, lost answers, and 200 random schedules of 12 faults. With the settle wait off, or with witnesses that forget, two epochs are used at once and the test sees it.

An edit that the store accepts just before it goes silent, and that no host has read, is not known to the fleet until the store is back; the freshness check counts from the first host that has the edit.

--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/MembershipAgent.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/MembershipAgent.kt
@@ -42,14 +42,14 @@
  * Feed it ticks, replies of the store and messages of peers, and carry out the [MembershipOutput] that each returns.
  * [configurationRevision] returns the revision of the lists in force. It is not safe for use by several threads.
  */
-class MembershipAgent(
+class MembershipAgent internal constructor(
     private val description: HostDescription,
     private val settings: MembershipSettings,
     random: Random,
+    private val memory: WitnessMemory,
     private val configurationRevision: () -> Long,
 ) {
     private val holder = RosterHolder()
-    private val memory = WitnessMemory()
     private val tracker = StandingTracker(description.host, memory)
     private val hostList = HostListView(description.host, settings.hostListLagMs)
     private val watcher = StoreWatcher(settings, random) { holder.members.size }
@@ -64,6 +64,13 @@
     private var drainedMs: Long? = null
     private var hasLeft = false
 
+    constructor(
+        description: HostDescription,
+        settings: MembershipSettings,
+        random: Random,
+        configurationRevision: () -> Long,
+    ) : this(description, settings, random, WitnessMemory(), configurationRevision)
+
     /** This host under its current incarnation, which is [NOT_JOINED] until the store has answered. */
     val self: Member
         get() = description.member(incarnation)
--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/roster/RosterCoordinator.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/roster/RosterCoordinator.kt
@@ -39,6 +39,7 @@
     private val view = watcher.view
     private var differenceSinceMs: Long? = null
     private var callOpenUntilMs = Long.MIN_VALUE
+    private var unreachedMs: Long? = null
     private var settlement: Settlement? = null
 
     /** Whether a change is due, so that the witnesses have to be asked whether they can be reached. */
@@ -122,14 +123,35 @@
         out: OutputBuilder,
     ) {
         settlement = null
-        val planned = plannedMembers(document.members, view.records) { isEvictable(nowMs, it) }
-        val isDue = planned.isNotEmpty() && (planned != document.members || isRosterMissing())
-        if (!isDue) {
-            differenceSinceMs = null
-        } else if (isTurn(nowMs) && reachesWitnesses(nowMs, incarnation, document)) {
+        val lapsed = plannedMembers(document.members, view.records) { isLapsed(nowMs, it) }
+        if (lapsed == document.members && !isRosterMissing()) {
             differenceSinceMs = null
-            write(nowMs, document.prepared(planned, self, settings.witnessCount), out)
+            return
         }
+        val isTurn = isTurn(nowMs)
+        if (!reachesWitnesses(nowMs, incarnation, document)) {
+            noteUnreached(nowMs)
+        } else if (isTurn) {
+            propose(nowMs, document, out)
+        }
+    }
+
+    private fun propose(
+        nowMs: Long,
+        document: RosterDocument,
+        out: OutputBuilder,
+    ) {
+        val planned = plannedMembers(document.members, view.records) { isEvictable(nowMs, it) }
+        val isDue = planned.isNotEmpty() && (planned != document.members || isRosterMissing())
+        if (!isDue) return
+        differenceSinceMs = null
+        write(nowMs, document.prepared(planned, self, settings.witnessCount), out)
+    }
+
+    /** Hosts that were cut off need time to renew their records before they may be evicted. */
+    private fun noteUnreached(nowMs: Long) {
+        val sinceMs = differenceSinceMs ?: return
+        if (nowMs - sinceMs >= settings.witnessTimeoutMs) unreachedMs = nowMs
     }
 
     private fun finish(
@@ -184,19 +206,27 @@
         incarnation: Incarnation,
         document: RosterDocument,
     ): Boolean {
-        val vouched = tracker.vouchedSince(nowMs - settings.standingMs)
+        val vouched = tracker.vouchedSince(nowMs - settings.witnessTimeoutMs)
         val count = document.witnesses.count { it in vouched || isSilenced(nowMs, incarnation, it) }
         return count >= majorityOf(document.witnesses.size)
     }
 
+    private fun isLapsed(
+        nowMs: Long,
+        host: HostId,
+    ): Boolean {
+        val absentSinceMs = view.recordAbsentSinceMs(host) ?: watcher.returnedMs ?: return false
+        return nowMs - absentSinceMs >= settings.evictionDelayMs
+    }
+
     private fun isEvictable(
         nowMs: Long,
         host: HostId,
     ): Boolean {
         val returnedMs = watcher.returnedMs ?: return false
-        val absentSinceMs = view.recordAbsentSinceMs(host) ?: returnedMs
-        val isStoreSettled = nowMs - returnedMs >= settings.storeReturnGraceMs
-        return nowMs - absentSinceMs >= settings.evictionDelayMs && (isStoreSettled || hostList.isGone(nowMs, host))
+        val graceFromMs = maxOf(returnedMs, unreachedMs ?: returnedMs)
+        val isGraceOver = nowMs - graceFromMs >= settings.returnGraceMs
+        return isLapsed(nowMs, host) && (isGraceOver || hostList.isGone(nowMs, host))
     }
 
     private fun isRosterMissing(): Boolean {
--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/standing/WitnessMemory.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/standing/WitnessMemory.kt
@@ -5,7 +5,7 @@
  *
  * It never vouches for a lower one, so that standing under an epoch ends once a majority of its witnesses know the next.
  */
-internal class WitnessMemory {
+internal open class WitnessMemory {
     var highestEpoch: Long = 0
         private set
 
@@ -15,5 +15,5 @@
     }
 
     /** Returns whether no higher epoch than [epoch] is known. */
-    fun vouchesFor(epoch: Long): Boolean = epoch >= highestEpoch
+    open fun vouchesFor(epoch: Long): Boolean = epoch >= highestEpoch
 }
--- /dev/null
+++ b/kumquatmill-membership/src/test/kotlin/io/kumquatmill/membership/RandomScheduleTest.kt
@@ -0,0 +1,77 @@
+package io.kumquatmill.membership
+
+import io.kumquatmill.membership.fake.FakeFleet
+import io.kumquatmill.membership.fake.FakeHost
+import io.kumquatmill.membership.fake.assertConverged
+import io.kumquatmill.membership.fake.stred
+import io.kumquatmill.membership.fake.vychod
+import io.kumquatmill.membership.fake.zapad
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class RandomScheduleTest {
+    @Test
+    fun `no schedule of faults breaks an invariant and the fleet recovers from each`() {
+        repeat(SEEDS) { seed ->
+            val fleet = FakeFleet(seed).start()
+            val schedule = RandomSchedule(fleet, Random(seed))
+            repeat(FAULTS) {
+                schedule.next()
+                fleet.run(schedule.pauseMs())
+            }
+            fleet.faults.heal()
+            fleet.hosts.forEach(schedule::mend)
+            fleet.run(RECOVERY_MS)
+            assertEquals(emptyList(), fleet.invariants.violations.take(3), "seed $seed after ${schedule.steps}")
+            fleet.assertConverged("seed $seed after ${schedule.steps}:")
+        }
+    }
+
+    private companion object {
+        const val SEEDS = 200
+        const val FAULTS = 12
+        const val RECOVERY_MS = 45_000L
+    }
+}
+
+/** Makes one fault after another, several of which may last at the same time. */
+private class RandomSchedule(
+    private val fleet: FakeFleet,
+    private val random: Random,
+) {
+    val steps = mutableListOf<String>()
+
+    fun pauseMs(): Long = random.nextLong(100, 6_000)
+
+    fun next() {
+        val host = fleet.hosts.random(random)
+        val fault = random.nextInt(11)
+        steps += "${fleet.nowMs}: $fault ${host.id}"
+        when (fault) {
+            0 -> host.kill()
+            1 -> host.freeze()
+            2, 3 -> mend(host)
+            4 -> fleet.faults.isStoreDown = !fleet.faults.isStoreDown
+            5 -> toggle(fleet.faults.cutRegions, listOf(zapad, stred, vychod).random(random))
+            6 -> toggle(fleet.faults.hostsWithoutStore, host.id)
+            7 -> fleet.faults.lostMessages = random.nextDouble(0.5)
+            8 -> fleet.faults.lostStoreAnswers = random.nextDouble(0.5)
+            9 -> fleet.faults.storeDelayMs = random.nextLong(2_000)
+            else -> fleet.acceptLists()
+        }
+    }
+
+    /** Wakes [host] if it is frozen and starts it if it is dead. */
+    fun mend(host: FakeHost) {
+        if (host.isFrozen) host.wake()
+        if (!host.isRunning) host.start()
+    }
+
+    private fun <T> toggle(
+        set: MutableSet<T>,
+        value: T,
+    ) {
+        if (!set.remove(value)) set += value
+    }
+}
--- a/kumquatmill-membership/src/test/kotlin/io/kumquatmill/membership/fake/FakeFleet.kt
+++ b/kumquatmill-membership/src/test/kotlin/io/kumquatmill/membership/fake/FakeFleet.kt
@@ -5,8 +5,11 @@
 import io.kumquatmill.common.id.AvailabilityZoneId
 import io.kumquatmill.common.id.HostId
 import io.kumquatmill.common.id.RegionId
+import io.kumquatmill.configuration.json.ListsDocument
+import io.kumquatmill.configuration.json.encodeDocument
 import io.kumquatmill.membership.HostDescription
 import io.kumquatmill.membership.MembershipSettings
+import io.kumquatmill.membership.standing.WitnessMemory
 import io.kumquatmill.store.HostListEntry
 import io.kumquatmill.store.HostListState
 import io.kumquatmill.store.StoreCall
@@ -23,7 +26,7 @@
     seed: Int,
     size: Int = 7,
     val settings: MembershipSettings = MembershipSettings(storeRegion = zapad, seedHosts = seedHosts(size)),
-    private val options: FleetOptions = FleetOptions(),
+    val options: FleetOptions = FleetOptions(),
 ) {
     val random = Random(seed)
     val store = FakeStore()
@@ -38,9 +41,8 @@
         private set
 
     init {
-        every(options.tickMs) { invariants.check() }
         every(HOST_LIST_INTERVAL_MS) { sendHostList() }
-        every(options.tickMs) { store.takeUnless { faults.isStoreDown }?.onTick(nowMs) }
+        every(STORE_TICK_MS) { store.takeUnless { faults.isStoreDown }?.onTick(nowMs) }
     }
 
     fun host(id: HostId): FakeHost = hostsById.getValue(id)
@@ -71,12 +73,23 @@
             val next = queue.poll()
             nowMs = next.atMs
             next.action()
+            if (options.checksInvariants) invariants.check()
         }
         nowMs = endMs
     }
 
+    /** Lets an operator accept new lists; returns whether the store took them. */
+    fun acceptLists(): Boolean {
+        if (faults.isStoreDown) return false
+        val expected = store.entry(ListsDocument.KEY)?.revision ?: StoreCall.NO_REVISION
+        store.execute(nowMs, StoreCall.CompareAndSwap(ListsDocument.KEY, expected, encodeDocument(ListsDocument()))) {}
+        invariants.onListsAccepted(store.revision)
+        return true
+    }
+
     /** Starts all hosts and waits until all are members. */
     fun start(): FakeFleet {
+        acceptLists()
         hosts.forEach { host -> schedule(random.nextLong(START_SPREAD_MS)) { host.start() } }
         run(START_MS)
         return this
@@ -145,6 +158,7 @@
     }
 
     private companion object {
+        const val STORE_TICK_MS = 50L
         const val HOST_LIST_INTERVAL_MS = 1_000L
         const val OTHER_REGION_MS = 17L
         const val LOST_ANSWER_TIMEOUT_MS = 1_000L
@@ -155,10 +169,11 @@
 
 /** Granularity and delays of a [FakeFleet]. */
 internal data class FleetOptions(
-    val tickMs: Long = 50,
     val jitterMs: Long = 5,
     val hostListLagMs: Long = 8_000,
-    val forgetsEpochs: Boolean = false,
+    val clockDrift: Double = 0.01,
+    val checksInvariants: Boolean = true,
+    val newMemory: () -> WitnessMemory = ::WitnessMemory,
 )
 
 internal fun hostId(index: Int) = HostId("entry-$index")
--- a/kumquatmill-membership/src/test/kotlin/io/kumquatmill/membership/fake/FakeHost.kt
+++ b/kumquatmill-membership/src/test/kotlin/io/kumquatmill/membership/fake/FakeHost.kt
@@ -22,6 +22,8 @@
     private val description: HostDescription,
 ) {
     private var life = 0
+    private val clockOffsetMs = fleet.random.nextLong(MAX_CLOCK_OFFSET_MS)
+    private val clockRate = 1 + (fleet.random.nextDouble() * 2 - 1) * fleet.options.clockDrift
     private val held = mutableListOf<() -> Unit>()
     var configuration = ConfigurationSync()
         private set
@@ -32,6 +34,10 @@
     var isFrozen = false
         private set
 
+    /** Reading of this host's own clock. */
+    val clockMs: Long
+        get() = clockOffsetMs + (fleet.nowMs * clockRate).toLong()
+
     val id: HostId
         get() = description.host
 
@@ -42,17 +48,17 @@
         get() = isRunning && agent.lifecycle == MembershipLifecycle.MEMBER
 
     val hasStanding: Boolean
-        get() = isRunning && agent.standing(fleet.nowMs).isValid(fleet.nowMs)
+        get() = isRunning && agent.standing(clockMs).isValid(clockMs)
 
     val isFresh: Boolean
-        get() = isRunning && agent.configurationIsFresh(fleet.nowMs)
+        get() = isRunning && agent.configurationIsFresh(clockMs)
 
     /** Epoch and phase under which this host may spend now, or null if it may not. */
     val standingUnder: Pair<Long, RosterPhase>?
         get() =
             agent
-                .standing(fleet.nowMs)
-                .takeIf { isRunning && it.isValid(fleet.nowMs) }
+                .standing(clockMs)
+                .takeIf { isRunning && it.isValid(clockMs) }
                 ?.roster
                 ?.let { it.epoch to it.phase }
 
@@ -82,14 +88,16 @@
         held.toList().also { held.clear() }.forEach { it() }
     }
 
-    fun leave() = carryOut(agent.leave(fleet.nowMs))
+    fun leave() = carryOut(agent.leave(clockMs))
 
-    fun drained() = carryOut(agent.drained(fleet.nowMs))
+    fun drained() = carryOut(agent.drained(clockMs))
 
-    fun onHostList(entries: List<HostListEntry>) = atProcess(life) { carryOut(agent.onHostList(fleet.nowMs, entries)) }
+    fun onHostList(entries: List<HostListEntry>) = atProcess(life) { carryOut(agent.onHostList(clockMs, entries)) }
 
     private fun newAgent() =
-        MembershipAgent(description, fleet.settings, Random(fleet.random.nextLong())) { configuration.register.revision }
+        MembershipAgent(description, fleet.settings, Random(fleet.random.nextLong()), fleet.options.newMemory()) {
+            configuration.register.revision
+        }
 
     private fun tick(ofLife: Int) {
         atProcess(ofLife) { if (life == ofLife) onTick() }
@@ -98,8 +106,8 @@
 
     private fun onTick() {
         if (agent.lifecycle == MembershipLifecycle.LEFT) kill()
-        carryOut(agent.onTick(fleet.nowMs))
-        carryOut(configuration.onTick(fleet.nowMs))
+        carryOut(agent.onTick(clockMs))
+        carryOut(configuration.onTick(clockMs))
     }
 
     /** Runs [action] in the process of [ofLife], when it is not frozen, and never in a later one. */
@@ -116,12 +124,12 @@
 
     private fun carryOut(output: MembershipOutput) {
         output.configurationChange?.let { carryOut(configuration.onStoreValue(it.value, it.revision)) }
-        output.peerRevisions.forEach { carryOut(configuration.onPeerRevision(fleet.nowMs, it.host, it.revision)) }
+        output.peerRevisions.forEach { carryOut(configuration.onPeerRevision(clockMs, it.host, it.revision)) }
         output.storeCalls.forEach { call ->
-            val sentAtMs = fleet.nowMs
+            val sentAtMs = clockMs
             val ofLife = life
             fleet.callStore(this, call) { result ->
-                atProcess(ofLife) { carryOut(agent.onStoreReply(fleet.nowMs, sentAtMs, call, result)) }
+                atProcess(ofLife) { carryOut(agent.onStoreReply(clockMs, sentAtMs, call, result)) }
             }
         }
         output.sends.forEach { send(it.to, it.message) }
@@ -133,6 +141,7 @@
     ) {
         val incarnation = agent.self.incarnation
         val sizeBytes = ENVELOPE_BYTES + Json.encodeToString(MembershipMessage.serializer(), message).length
+        if (!fleet.faults.passes(id, to, message)) return
         fleet.send(this, to, sizeBytes) { it.receive(id, incarnation, message) }
     }
 
@@ -140,7 +149,7 @@
         from: HostId,
         incarnation: Incarnation,
         message: MembershipMessage,
-    ) = atProcess(life) { carryOut(agent.onMessage(fleet.nowMs, from, incarnation, message)) }
+    ) = atProcess(life) { carryOut(agent.onMessage(clockMs, from, incarnation, message)) }
 
     private fun carryOut(output: ConfigurationOutput) {
         output.sends.forEach { send ->
@@ -156,5 +165,6 @@
     private companion object {
         const val TICK_MS = 50L
         const val ENVELOPE_BYTES = 60
+        const val MAX_CLOCK_OFFSET_MS = 1_000_000L
     }
 }
--- a/kumquatmill-membership/src/test/kotlin/io/kumquatmill/membership/fake/FleetFaults.kt
+++ b/kumquatmill-membership/src/test/kotlin/io/kumquatmill/membership/fake/FleetFaults.kt
@@ -2,6 +2,7 @@
 
 import io.kumquatmill.common.id.HostId
 import io.kumquatmill.common.id.RegionId
+import io.kumquatmill.membership.message.MembershipMessage
 
 /** What goes wrong between hosts and at the store; tests change it while the fleet runs. */
 internal class FleetFaults {
@@ -10,12 +11,25 @@
     var lostStoreAnswers = 0.0
     var lostMessages = 0.0
 
+    /** Decides for each message of membership whether it passes. */
+    var passes: (HostId, HostId, MembershipMessage) -> Boolean = { _, _, _ -> true }
+
     /** Regions that neither send nor receive across their border. */
     val cutRegions = mutableSetOf<RegionId>()
 
     /** Hosts that can not reach the store. */
     val hostsWithoutStore = mutableSetOf<HostId>()
 
+    fun heal() {
+        isStoreDown = false
+        storeDelayMs = 0
+        lostStoreAnswers = 0.0
+        lostMessages = 0.0
+        cutRegions.clear()
+        hostsWithoutStore.clear()
+        passes = { _, _, _ -> true }
+    }
+
     fun isCut(
         one: RegionId,
         other: RegionId,
