Bound the store calls and messages of a large fleet

When 450 hosts returned to the store together they wrote up to 900 times in one second, and every one of them asked the five witnesses, which then sent and received some 55 KB/s. Hosts now spread the writes after an outage by the size of the fleet, only the host whose turn it is asks the witnesses, and while the store is silent most hosts ask relays, which pass on the votes of the witnesses with their ages.

--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/MembershipAgent.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/MembershipAgent.kt
@@ -52,8 +52,8 @@
     private val holder = RosterHolder()
     private val tracker = StandingTracker(description.host, memory)
     private val hostList = HostListView(description.host, settings.hostListLagMs)
-    private val watcher = StoreWatcher(settings, random) { holder.members.size }
-    private val leases = LeaseKeeper(description.host, settings, watcher.view) { holder.members.size }
+    private val watcher = StoreWatcher(settings, random, ::fleetSize)
+    private val leases = LeaseKeeper(description.host, settings, watcher, random, ::fleetSize)
     private val coordinator = RosterCoordinator(description.host, settings, watcher, holder, hostList, tracker)
     private val inquiry = PeerInquiry(description, settings, holder, random)
     private val freshness = ConfigurationFreshness()
@@ -169,6 +169,8 @@
 
     private inline fun output(block: (OutputBuilder) -> Unit): MembershipOutput = OutputBuilder().also(block).build()
 
+    private fun fleetSize(): Int = maxOf(holder.members.size, watcher.view.records.size)
+
     private fun isMember(): Boolean = holder.isMember(description.host, incarnation)
 
     private fun keepRecord(
@@ -201,8 +203,7 @@
 
     private fun isStoreSilent(nowMs: Long): Boolean {
         val evidenceMs = watcher.evidenceMs ?: return true
-        val fleetSize = holder.members.size
-        val usualAgeMs = settings.renewPeriodMs(fleetSize) + settings.watchWaitMs(fleetSize) + SILENCE_MARGIN_MS
+        val usualAgeMs = settings.renewPeriodMs(fleetSize()) + settings.watchWaitMs(fleetSize()) + SILENCE_MARGIN_MS
         return !watcher.isUp || nowMs - evidenceMs > usualAgeMs
     }
 
@@ -286,6 +287,7 @@
                 roster = holder.version,
                 configurationRevision = configurationRevision(),
                 storeWord = freshness.wordToPass(nowMs, settings.freshnessMs, configurationRevision()),
+                voteAgesMs = tracker.voteAgesToRelay(nowMs, request.epoch, settings.standingMs),
             )
         out.send(from, reply)
     }
@@ -300,6 +302,7 @@
         val sentAtMs = inquiry.sentAtMs(reply.nonce) ?: return
         memory.hear(reply.highestEpoch)
         reply.vouchedEpoch?.let { tracker.onVouched(from, fromIncarnation, it, sentAtMs) }
+        tracker.onRelayedVotes(reply.roster.epoch, sentAtMs, reply.voteAgesMs)
         reply.storeWord?.let { freshness.onWord(sentAtMs, it, configurationRevision()) }
         out.peerRevision(from, reply.configurationRevision)
         if (reply.roster > holder.version && isStoreSilent(nowMs)) pull(nowMs, from, out)
--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/fleet/KnownHosts.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/fleet/KnownHosts.kt
@@ -46,6 +46,6 @@
 
     private fun isStoreSettled(nowMs: Long): Boolean {
         val returnedMs = watcher.returnedMs ?: return false
-        return watcher.isUp && nowMs - returnedMs >= settings.returnGraceMs
+        return watcher.isUp && nowMs - returnedMs >= settings.returnGraceMs(watcher.view.records.size)
     }
 }
--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/lease/LeaseKeeper.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/lease/LeaseKeeper.kt
@@ -7,11 +7,12 @@
 import io.kumquatmill.membership.record.HostRecord
 import io.kumquatmill.membership.record.MembershipKeys
 import io.kumquatmill.membership.record.encodeHostRecord
-import io.kumquatmill.membership.store.StoreView
+import io.kumquatmill.membership.store.StoreWatcher
 import io.kumquatmill.store.LeaseId
 import io.kumquatmill.store.StoreCall
 import io.kumquatmill.store.StoreError
 import io.kumquatmill.store.StoreReply
+import kotlin.random.Random
 
 /**
  * Keeps the lease of a host and the record `hosts/<host>` that hangs on it.
@@ -21,14 +22,17 @@
 internal class LeaseKeeper(
     host: HostId,
     private val settings: MembershipSettings,
-    private val view: StoreView,
+    private val watcher: StoreWatcher,
+    private val random: Random,
     private val fleetSize: () -> Int,
 ) {
+    private val view = watcher.view
     private val key = MembershipKeys.host(host)
     private val recordHost = host
     private var lease: LeaseId? = null
     private var nextLeaseCallMs = Long.MIN_VALUE
     private var nextRecordCallMs = Long.MIN_VALUE
+    private var spreadReturnMs: Long? = null
     private var writtenRevision = StoreCall.NO_REVISION
 
     /** Returns whether the store has no record of this host and none is on its way. */
@@ -41,10 +45,21 @@
         recordOf: (LeaseId) -> HostRecord,
         out: OutputBuilder,
     ) {
+        spreadAfterReturn(nowMs)
         if (nowMs >= nextLeaseCallMs) callForLease(nowMs, out)
         lease?.let { writeRecord(nowMs, recordOf(it), out) }
     }
 
+    /** After an outage, waits for a random time, so that not all hosts write at once. */
+    private fun spreadAfterReturn(nowMs: Long) {
+        val returnedMs = watcher.returnedMs
+        if (returnedMs == null || returnedMs == spreadReturnMs) return
+        spreadReturnMs = returnedMs
+        val delayMs = random.nextLong(settings.writeSpreadMs(fleetSize()) + 1)
+        nextLeaseCallMs = nowMs + delayMs
+        nextRecordCallMs = nowMs + delayMs
+    }
+
     /** Removes the record; the lease then lapses by itself. */
     fun remove(
         nowMs: Long,
--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/message/MembershipMessage.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/message/MembershipMessage.kt
@@ -1,6 +1,7 @@
 package io.kumquatmill.membership.message
 
 import io.kumquatmill.membership.record.RosterDocument
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
 /** What the membership parts of two entry hosts say to each other. */
@@ -8,47 +9,55 @@
 sealed interface MembershipMessage {
     /** Asks the receiver what it knows, and as a witness whether [epoch] is the highest it has heard of. */
     @Serializable
+    @SerialName("membership-ask")
     data class StandingRequest(
         val nonce: Long,
         val epoch: Long,
-        val configurationRevision: Long,
+        @SerialName("configuration") val configurationRevision: Long,
     ) : MembershipMessage
 
     /**
      * Answers the [StandingRequest] of the same [nonce].
      *
      * [vouchedEpoch] is the epoch asked about if the sender knows of no higher one. [roster] is what the sender has.
+     * [voteAgesMs] are the ages of the votes that the witnesses of the epoch asked about gave the sender, in their order.
      */
     @Serializable
+    @SerialName("membership-reply")
     data class StandingReply(
         val nonce: Long,
-        val vouchedEpoch: Long?,
-        val highestEpoch: Long,
+        @SerialName("vouched") val vouchedEpoch: Long? = null,
+        @SerialName("highest") val highestEpoch: Long,
         val roster: RosterVersion,
-        val configurationRevision: Long,
-        val storeWord: StoreWord?,
+        @SerialName("configuration") val configurationRevision: Long,
+        @SerialName("word") val storeWord: StoreWord? = null,
+        @SerialName("votes") val voteAgesMs: List<Long?> = emptyList(),
     ) : MembershipMessage
 
     /** Tells a witness of the epoch before that [epoch] is prepared. */
     @Serializable
+    @SerialName("membership-notice")
     data class RosterNotice(
         val epoch: Long,
     ) : MembershipMessage
 
     /** Confirms that the sender will not vouch for an epoch below [epoch] any more. */
     @Serializable
+    @SerialName("membership-ack")
     data class RosterAck(
         val epoch: Long,
     ) : MembershipMessage
 
     /** Asks for the receiver's roster if it is newer than [have]. */
     @Serializable
+    @SerialName("membership-pull")
     data class RosterPull(
         val have: RosterVersion,
     ) : MembershipMessage
 
     /** Carries the sender's roster, which the store has had since [revision]. */
     @Serializable
+    @SerialName("membership-push")
     data class RosterPush(
         val document: RosterDocument,
         val revision: Long,
@@ -58,7 +67,7 @@
 /** Says that [ageMs] ago no lists newer than [revision] were accepted by the store. */
 @Serializable
 data class StoreWord(
-    val ageMs: Long,
+    @SerialName("age") val ageMs: Long,
     val revision: Long,
 )
 
@@ -66,7 +75,7 @@
 @Serializable
 data class RosterVersion(
     val epoch: Long,
-    val isSettled: Boolean,
+    @SerialName("settled") val isSettled: Boolean,
 ) : Comparable<RosterVersion> {
     override fun compareTo(other: RosterVersion): Int = compareValuesBy(this, other, { it.epoch }, { it.isSettled })
 
--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/roster/RosterCoordinator.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/roster/RosterCoordinator.kt
@@ -2,7 +2,6 @@
 
 import arrow.core.Either
 import io.kumquatmill.common.fleet.RosterPhase
-import io.kumquatmill.common.hash.rendezvousOrder
 import io.kumquatmill.common.id.HostId
 import io.kumquatmill.common.id.Incarnation
 import io.kumquatmill.membership.MembershipSettings
@@ -37,21 +36,25 @@
     private val tracker: StandingTracker,
 ) {
     private val view = watcher.view
+    private val rank = ProposerRank(self, view, holder)
     private var differenceSinceMs: Long? = null
+    private var turnSinceMs: Long? = null
     private var callOpenUntilMs = Long.MIN_VALUE
     private var unreachedMs: Long? = null
+    private var quietRevision = -1L
+    private var quietEpoch = -1L
     private var settlement: Settlement? = null
 
-    /** Whether a change is due, so that the witnesses have to be asked whether they can be reached. */
+    /** Whether it is this host's turn to propose, so that it has to ask the witnesses whether they can be reached. */
     val needsWitnesses: Boolean
-        get() = differenceSinceMs != null
+        get() = turnSinceMs != null
 
     fun onTick(
         nowMs: Long,
         incarnation: Incarnation,
         out: OutputBuilder,
     ) {
-        if (!watcher.isUp) differenceSinceMs = null
+        if (!watcher.isUp) forgetDifference()
         if (!watcher.isUp || nowMs < callOpenUntilMs) return
         val document = holder.document
         when {
@@ -123,19 +126,30 @@
         out: OutputBuilder,
     ) {
         settlement = null
+        if (isQuiet(document)) return
         val lapsed = plannedMembers(document.members, view.records) { isLapsed(nowMs, it) }
         if (lapsed == document.members && !isRosterMissing()) {
-            differenceSinceMs = null
+            forgetDifference()
+            noteQuiet(document)
             return
         }
-        val isTurn = isTurn(nowMs)
-        if (!reachesWitnesses(nowMs, incarnation, document)) {
-            noteUnreached(nowMs)
-        } else if (isTurn) {
+        if (!isTurn(nowMs)) return
+        if (reachesWitnesses(nowMs, incarnation, document)) {
             propose(nowMs, document, out)
+        } else {
+            noteUnreached(nowMs)
         }
     }
 
+    /** Returns whether nothing can have become due since the last check found all members with their records. */
+    private fun isQuiet(document: RosterDocument): Boolean = quietRevision == view.revision && quietEpoch == document.epoch
+
+    private fun noteQuiet(document: RosterDocument) {
+        if (!document.members.all { it.host in view.records }) return
+        quietRevision = view.revision
+        quietEpoch = document.epoch
+    }
+
     private fun propose(
         nowMs: Long,
         document: RosterDocument,
@@ -144,13 +158,13 @@
         val planned = plannedMembers(document.members, view.records) { isEvictable(nowMs, it) }
         val isDue = planned.isNotEmpty() && (planned != document.members || isRosterMissing())
         if (!isDue) return
-        differenceSinceMs = null
+        forgetDifference()
         write(nowMs, document.prepared(planned, self, settings.witnessCount), out)
     }
 
     /** Hosts that were cut off need time to renew their records before they may be evicted. */
     private fun noteUnreached(nowMs: Long) {
-        val sinceMs = differenceSinceMs ?: return
+        val sinceMs = turnSinceMs ?: return
         if (nowMs - sinceMs >= settings.witnessTimeoutMs) unreachedMs = nowMs
     }
 
@@ -160,7 +174,7 @@
         document: RosterDocument,
         out: OutputBuilder,
     ) {
-        differenceSinceMs = null
+        forgetDifference()
         val progress = settlementOf(nowMs, document)
         if (nowMs - progress.startedMs < finishDelayMs(document)) return
         val isSilenced = { witness: Witness -> isSilenced(nowMs, incarnation, witness) }
@@ -181,7 +195,14 @@
         return Settlement(document.epoch, nowMs, document.previousWitnesses).also { settlement = it }
     }
 
-    private fun finishDelayMs(document: RosterDocument): Long = if (document.proposer == self) 0 else settings.finishDelayMs + rankDelayMs()
+    private fun finishDelayMs(document: RosterDocument): Long =
+        if (document.proposer ==
+            self
+        ) {
+            0
+        } else {
+            settings.finishDelayMs + rank.delayMs(settings.rankDelayMs)
+        }
 
     /** Returns whether [witness] is known not to vouch for the epoch before: it is this host, gone, or has a newer incarnation. */
     private fun isSilenced(
@@ -225,7 +246,7 @@
     ): Boolean {
         val returnedMs = watcher.returnedMs ?: return false
         val graceFromMs = maxOf(returnedMs, unreachedMs ?: returnedMs)
-        val isGraceOver = nowMs - graceFromMs >= settings.returnGraceMs
+        val isGraceOver = nowMs - graceFromMs >= settings.returnGraceMs(holder.members.size)
         return isLapsed(nowMs, host) && (isGraceOver || hostList.isGone(nowMs, host))
     }
 
@@ -236,17 +257,14 @@
 
     private fun isTurn(nowMs: Long): Boolean {
         val sinceMs = differenceSinceMs ?: nowMs.also { differenceSinceMs = it }
-        return nowMs - sinceMs >= settings.changeDelayMs + rankDelayMs()
+        val isTurn = nowMs - sinceMs >= settings.changeDelayMs + rank.delayMs(settings.rankDelayMs)
+        if (isTurn) turnSinceMs = turnSinceMs ?: nowMs
+        return isTurn
     }
 
-    private fun rankDelayMs(): Long {
-        val members =
-            view.records.values
-                .map { it.value.member }
-                .filter { holder.isMember(it.host, it.incarnation) }
-        val candidates = members.ifEmpty { view.records.values.map { it.value.member } }.map { it.host }
-        val rank = rendezvousOrder("roster-${holder.version.epoch}", candidates) { it.value }.indexOf(self)
-        return if (rank < 0) settings.maxRankDelayMs else minOf(rank * settings.rankDelayMs, settings.maxRankDelayMs)
+    private fun forgetDifference() {
+        differenceSinceMs = null
+        turnSinceMs = null
     }
 
     private fun write(
--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/standing/PeerInquiry.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/standing/PeerInquiry.kt
@@ -1,6 +1,7 @@
 package io.kumquatmill.membership.standing
 
 import io.kumquatmill.common.fleet.Member
+import io.kumquatmill.common.hash.rendezvousOrder
 import io.kumquatmill.common.id.HostId
 import io.kumquatmill.membership.HostDescription
 import io.kumquatmill.membership.MembershipSettings
@@ -10,9 +11,10 @@
 import kotlin.random.Random
 
 /**
- * Asks peers what they know, once in each renew period: a few at random, and the witnesses when they are needed.
+ * Asks peers what they know, once in each period: a few at random, and the witnesses when they are needed.
  *
- * While the store is silent it also asks a member of the store's region, for word of the configuration.
+ * While the store is silent, most hosts of a large fleet ask relays instead of the witnesses.
+ * A host then also asks a member of the store's region, for word of the configuration.
  */
 internal class PeerInquiry(
     private val description: HostDescription,
@@ -23,6 +25,8 @@
     private val questions = QuestionLog()
     private var nextRoundMs = Long.MIN_VALUE
     private var lastRoundAskedWitnesses = false
+    private var relays: List<Member> = emptyList()
+    private var relaysEpoch = 0L
 
     /** Makes the next round due at once. */
     fun askSoon() {
@@ -41,7 +45,8 @@
     ) {
         val isDue = nowMs >= nextRoundMs || (needsWitnesses && !lastRoundAskedWitnesses)
         if (!isDue) return
-        nextRoundMs = nowMs + settings.renewPeriodMs(holder.members.size)
+        val fleetSize = holder.members.size
+        nextRoundMs = nowMs + if (needsWitnesses) settings.askPeriodMs(fleetSize) else settings.renewPeriodMs(fleetSize)
         lastRoundAskedWitnesses = needsWitnesses
         val targets = targets(needsWitnesses, isStoreSilent)
         if (targets.isEmpty()) return
@@ -57,18 +62,31 @@
     ): Set<HostId> {
         val members = holder.members
         val targets = mutableSetOf<HostId>()
-        if (needsWitnesses) {
-            targets +=
-                holder.document
-                    ?.witnesses
-                    .orEmpty()
-                    .map { it.host }
-        }
+        if (needsWitnesses) targets += witnessesOrRelays(isStoreSilent)
         if (isStoreSilent) targets += randomHosts(members.filter { it.region == settings.storeRegion }, 1)
         targets += if (members.isEmpty()) settings.seedHosts else randomHosts(members, settings.gossipFanOut)
         return targets - description.host
     }
 
+    private fun witnessesOrRelays(isStoreSilent: Boolean): Collection<HostId> {
+        chooseRelays()
+        val isRelay = relays.isEmpty() || relays.any { it.host == description.host }
+        if (isStoreSilent && !isRelay) return randomHosts(relays, settings.relayFanOut)
+        return holder.document
+            ?.witnesses
+            .orEmpty()
+            .map { it.host }
+    }
+
+    /** Relays are the same on every host of one epoch; a small fleet needs none. */
+    private fun chooseRelays() {
+        if (holder.version.epoch == relaysEpoch) return
+        relaysEpoch = holder.version.epoch
+        val members = holder.members
+        val count = settings.relayCount(members.size)
+        relays = if (count >= members.size) emptyList() else rendezvousOrder(RELAY_KEY, members) { it.host.value }.take(count)
+    }
+
     private fun randomHosts(
         members: List<Member>,
         count: Int,
@@ -82,4 +100,8 @@
         }
         return picked
     }
+
+    private companion object {
+        const val RELAY_KEY = "relay"
+    }
 }
--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/standing/StandingTracker.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/standing/StandingTracker.kt
@@ -50,6 +50,26 @@
         if (atEpoch == epoch && witness in witnesses) vouchedMs.merge(witness, sentAtMs, ::maxOf)
     }
 
+    /** Takes the votes for [atEpoch] that a peer, asked at [sentAtMs], has from the witnesses, by their ages. */
+    fun onRelayedVotes(
+        atEpoch: Long,
+        sentAtMs: Long,
+        agesMs: List<Long?>,
+    ) {
+        if (atEpoch != epoch) return
+        witnesses.zip(agesMs).forEach { (witness, ageMs) -> ageMs?.let { vouchedMs.merge(witness, sentAtMs - it, ::maxOf) } }
+    }
+
+    /** Returns the ages of the votes for [atEpoch] that are younger than [maxAgeMs], to pass on to a peer. */
+    fun voteAgesToRelay(
+        nowMs: Long,
+        atEpoch: Long,
+        maxAgeMs: Long,
+    ): List<Long?> {
+        val agesMs = witnesses.map { witness -> vouchedMs[witness]?.let { nowMs - it }?.takeIf { it < maxAgeMs } }
+        return if (atEpoch != epoch || agesMs.all { it == null }) emptyList() else agesMs
+    }
+
     /** Returns the time that standing counts from, or null if there is none. */
     fun evidenceMs(
         nowMs: Long,
--- a/kumquatmill-membership/src/test/kotlin/io/kumquatmill/membership/fake/FakeFleet.kt
+++ b/kumquatmill-membership/src/test/kotlin/io/kumquatmill/membership/fake/FakeFleet.kt
@@ -31,7 +31,7 @@
     val random = Random(seed)
     val store = FakeStore()
     val faults = FleetFaults()
-    val counts = TrafficCounts()
+    val counts = TrafficCounts { nowMs }
     val hosts: List<FakeHost> = (0 until size).map { FakeHost(this, describe(it)) }
     private val hostsById = hosts.associateBy { it.id }
     private val queue = PriorityQueue<Scheduled>(compareBy({ it.atMs }, { it.order }))
@@ -90,7 +90,7 @@
     /** Starts all hosts and waits until all are members. */
     fun start(): FakeFleet {
         acceptLists()
-        hosts.forEach { host -> schedule(random.nextLong(START_SPREAD_MS)) { host.start() } }
+        hosts.forEach { host -> schedule(random.nextLong(START_SPREAD_PER_HOST_MS * hosts.size)) { host.start() } }
         run(START_MS)
         return this
     }
@@ -117,6 +117,7 @@
     ) {
         if (!canReachStore(host)) return loseAnswer(answer)
         store.execute(nowMs, call) { result ->
+            if (options.countsTraffic) counts.onStoreResult(result)
             val isLost = random.nextDouble() < faults.lostStoreAnswers || !canReachStore(host)
             if (isLost) loseAnswer(answer) else schedule(latencyMs(host.region, settings.storeRegion)) { answer(result) }
         }
@@ -132,10 +133,8 @@
     fun send(
         from: FakeHost,
         to: HostId,
-        sizeBytes: Int,
         deliver: (FakeHost) -> Unit,
     ) {
-        counts.onMessage(from.id, to, sizeBytes)
         val target = hostsById[to] ?: return
         if (faults.isCut(from.region, target.region) || random.nextDouble() < faults.lostMessages) return
         schedule(latencyMs(from.region, target.region)) { deliver(target) }
@@ -162,7 +161,7 @@
         const val HOST_LIST_INTERVAL_MS = 1_000L
         const val OTHER_REGION_MS = 17L
         const val LOST_ANSWER_TIMEOUT_MS = 1_000L
-        const val START_SPREAD_MS = 200L
+        const val START_SPREAD_PER_HOST_MS = 15L
         const val START_MS = 15_000L
     }
 }
@@ -173,6 +172,7 @@
     val hostListLagMs: Long = 8_000,
     val clockDrift: Double = 0.01,
     val checksInvariants: Boolean = true,
+    val countsTraffic: Boolean = false,
     val newMemory: () -> WitnessMemory = ::WitnessMemory,
 )
 
--- a/kumquatmill-membership/src/test/kotlin/io/kumquatmill/membership/fake/FakeHost.kt
+++ b/kumquatmill-membership/src/test/kotlin/io/kumquatmill/membership/fake/FakeHost.kt
@@ -13,7 +13,6 @@
 import io.kumquatmill.membership.MembershipOutput
 import io.kumquatmill.membership.message.MembershipMessage
 import io.kumquatmill.store.HostListEntry
-import kotlinx.serialization.json.Json
 import kotlin.random.Random
 
 /** One entry host of a [FakeFleet]: membership and configuration, without requests. */
@@ -140,9 +139,8 @@
         message: MembershipMessage,
     ) {
         val incarnation = agent.self.incarnation
-        val sizeBytes = ENVELOPE_BYTES + Json.encodeToString(MembershipMessage.serializer(), message).length
-        if (!fleet.faults.passes(id, to, message)) return
-        fleet.send(this, to, sizeBytes) { it.receive(id, incarnation, message) }
+        if (fleet.options.countsTraffic) fleet.counts.onMessage(id, to, message)
+        if (fleet.faults.passes(id, to, message)) fleet.send(this, to) { it.receive(id, incarnation, message) }
     }
 
     private fun receive(
@@ -153,7 +151,7 @@
 
     private fun carryOut(output: ConfigurationOutput) {
         output.sends.forEach { send ->
-            fleet.send(this, send.to, ENVELOPE_BYTES) { it.receive(id, send.message) }
+            fleet.send(this, send.to) { it.receive(id, send.message) }
         }
     }
 
@@ -164,7 +162,6 @@
 
     private companion object {
         const val TICK_MS = 50L
-        const val ENVELOPE_BYTES = 60
         const val MAX_CLOCK_OFFSET_MS = 1_000_000L
     }
 }
