--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/roster/RosterCoordinator.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/roster/RosterCoordinator.kt
@@ -41,6 +41,7 @@
     private var turnSinceMs: Long? = null
     private var callOpenUntilMs = Long.MIN_VALUE
     private var unreachedMs: Long? = null
+    private var nextCheckMs = Long.MIN_VALUE
     private var quietRevision = -1L
     private var quietEpoch = -1L
     private var settlement: Settlement? = null
@@ -126,7 +127,8 @@
         out: OutputBuilder,
     ) {
         settlement = null
-        if (isQuiet(document)) return
+        if (nowMs < nextCheckMs || isQuiet(document)) return
+        nextCheckMs = nowMs + CHECK_INTERVAL_MS
         val lapsed = plannedMembers(document.members, view.records) { isLapsed(nowMs, it) }
         if (lapsed == document.members && !isRosterMissing()) {
             forgetDifference()
@@ -284,4 +286,8 @@
         callOpenUntilMs = nowMs + settings.storeCallTimeoutMs
         out.call(call)
     }
+
+    private companion object {
+        const val CHECK_INTERVAL_MS = 200L
+    }
 }
