Let workspaces within their share go ahead with saved turns

Cause: with plain weighted deficit round robin a workspace at 0.8 of its share waits a full round for each request of a small burst while another floods.

Turns are counted in rounds, so the saving never exceeds the share.

--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/queue/FairQueue.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/queue/FairQueue.kt
@@ -10,16 +10,17 @@
  * Bounded queue in which each workspace waits behind its own requests only.
  *
  * Workspaces take turns by weighted deficit round robin, so that those who ask for less than their share get all of it
- * and the rest is split by weight. Requests that can't meet their deadline are refused at once, when they enter and
- * later. Use one for each group of workers that share their slots. The cost of a call does not grow with the number of
- * workspaces, and workspaces without waiting requests take no memory.
+ * and the rest is split by weight; one that kept within its share goes ahead with the turns it saved. Requests that
+ * can't meet their deadline are refused at once, when they enter and later. Use one queue for each group of workers that
+ * share their slots. The cost of a call does not grow with the number of workspaces, and workspaces that have not waited
+ * for a while take no memory.
  */
 class FairQueue(
     private val settings: QueueSettings = QueueSettings(),
 ) {
     private val entries = HashMap<RequestId, QueueEntry>()
     private val queues = HashMap<WorkspaceId, WorkspaceQueue>()
-    private val turns = ArrayDeque<WorkspaceQueue>()
+    private val order = TurnOrder(settings.maxSavedTurns)
     private val wheel = DeadlineWheel()
     private val pace = DispatchPace()
     private var activeWeight = 0
@@ -28,9 +29,9 @@
     val size: Int
         get() = entries.size
 
-    /** Number of workspaces held in memory. */
+    /** Number of workspaces held in memory: those that wait or did so a few turns ago. */
     val workspaceCount: Int
-        get() = queues.size
+        get() = queues.size + order.idleCount
 
     /** Returns the number of waiting requests of [workspace]. */
     fun sizeOf(workspace: WorkspaceId): Int = queues[workspace]?.size ?: 0
@@ -62,7 +63,7 @@
         val refused = expire(nowMs)
         var hasSlots = true
         while (hasSlots && entries.isNotEmpty()) {
-            val entry = queueInTurn().head()
+            val entry = order.present().head()
             hasSlots = tryDispatch(entry.request)
             if (hasSlots) settle(nowMs, entry)
         }
@@ -109,7 +110,7 @@
         nowMs: Long,
         entry: QueueEntry,
     ) {
-        val queue = queues.getOrPut(entry.request.workspace) { newQueue(entry.request) }
+        val queue = queues.getOrPut(entry.request.workspace) { order.activate(entry.request.workspace, entry.request.weight) }
         activeWeight -= queue.activeWeight()
         queue.add(entry)
         activeWeight += queue.activeWeight()
@@ -117,13 +118,6 @@
         wheel.add(nowMs, entry)
     }
 
-    private fun newQueue(request: QueuedRequest): WorkspaceQueue {
-        val queue = WorkspaceQueue(request.workspace)
-        queue.credit = request.weight.toDouble()
-        turns.addLast(queue)
-        return queue
-    }
-
     private fun remove(entry: QueueEntry) {
         val queue = queues.getValue(entry.request.workspace)
         activeWeight -= queue.activeWeight()
@@ -131,37 +125,20 @@
         activeWeight += queue.activeWeight()
         entries.remove(entry.request.id)
         wheel.remove(entry)
-        if (entries.isEmpty()) forgetQueues()
+        if (queue.isEmpty) {
+            queues.remove(queue.workspace)
+            order.deactivate(queue)
+        }
     }
 
     private fun settle(
         nowMs: Long,
         entry: QueueEntry,
     ) {
-        queues.getValue(entry.request.workspace).credit -= entry.request.cost
+        order.charge(queues.getValue(entry.request.workspace), entry.request.cost, activeWeight)
         remove(entry)
         pace.dispatched(nowMs)
     }
 
-    /** Returns the workspace whose turn it is; those whose turn is used up go to the end with a new one. */
-    private fun queueInTurn(): WorkspaceQueue {
-        while (true) {
-            val queue = turns.first()
-            if (!queue.isEmpty && queue.credit > 0.0) return queue
-            turns.removeFirst()
-            if (queue.isEmpty) {
-                queues.remove(queue.workspace)
-            } else {
-                queue.credit += queue.weight
-                turns.addLast(queue)
-            }
-        }
-    }
-
-    private fun forgetQueues() {
-        queues.clear()
-        turns.clear()
-    }
-
     private fun WorkspaceQueue.activeWeight(): Int = if (isEmpty) 0 else weight
 }
--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/queue/WorkspaceQueue.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/queue/WorkspaceQueue.kt
@@ -11,6 +11,7 @@
     var weight: Int = 1
         private set
     var credit: Double = 0.0
+    var emptiedAtTurn: Double = 0.0
 
     val size: Int
         get() = entries.size
