--- a/kumquatmill-steering/src/main/kotlin/io/kumquatmill/steering/table/SteeringTable.kt
+++ b/kumquatmill-steering/src/main/kotlin/io/kumquatmill/steering/table/SteeringTable.kt
@@ -27,6 +27,7 @@
 ) {
     private val usableHosts = hosts.filter { it.state == SteerableState.LIVE || it.state == SteerableState.SUSPECTED }
     private val hostsByRegion = usableHosts.groupBy { it.region }
+    private val liveRegions = usableHosts.filter { it.state == SteerableState.LIVE }.map { it.region }.toSet()
     private val orders = LinkedHashMap<OrderKey, List<SteeringAnswer>>()
 
     /** Returns the entry hosts for a caller of [workspace] at [clientIp]; open requests come without a workspace. */
@@ -43,7 +44,7 @@
     private fun firstUsableRegion(clientIp: String): RegionId? {
         val preferred = regionsOf(clientIp)
         for (index in preferred.indices) {
-            if (hasLiveHost(preferred[index])) return preferred[index]
+            if (preferred[index] in liveRegions) return preferred[index]
         }
         return otherRegions(clientIp, preferred).firstOrNull()
     }
@@ -54,11 +55,9 @@
     ): List<RegionId> {
         val others = hostsByRegion.keys - preferred.toSet()
         val ordered = rendezvousOrder(clientIp, others) { it.value }
-        return ordered.filter { hasLiveHost(it) } + preferred.filter { it in hostsByRegion } + ordered
+        return ordered.filter { it in liveRegions } + preferred.filter { it in hostsByRegion } + ordered
     }
 
-    private fun hasLiveHost(region: RegionId): Boolean = hostsByRegion[region]?.any { it.state == SteerableState.LIVE } ?: false
-
     private fun buildAnswers(
         workspace: WorkspaceId?,
         region: RegionId,
@@ -83,8 +82,9 @@
         key: String,
         region: RegionId,
     ): List<SteerableHost> {
-        val perRegion = hostsByRegion.filterKeys { it != region }.values.map { ordered(key, it).first() }
-        return ordered(key, perRegion).take(settings.maxAlternates)
+        val others = rendezvousOrder(key, hostsByRegion.keys - region) { it.value }
+        val (live, suspected) = others.partition { it in liveRegions }
+        return (live + suspected).take(settings.maxAlternates).map { ordered(key, hostsByRegion.getValue(it)).first() }
     }
 
     private fun spread(
