--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/queue/FairQueue.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/queue/FairQueue.kt
@@ -52,21 +52,26 @@
     }
 
     /**
-     * Offers waiting requests to [tryDispatch] in their fair order until it returns false or none is left.
+     * Offers waiting requests to [tryDispatch] in their fair order until it says that there are no slots or none is left.
      *
-     * A request for which it returns true has left the queue. Returns the requests that were given up instead.
+     * Workspaces that it passes over keep their place. Returns the requests that were given up instead.
      */
     fun dispatch(
         nowMs: Long,
-        tryDispatch: (QueuedRequest) -> Boolean,
+        tryDispatch: (QueuedRequest) -> DispatchStep,
     ): List<QueueRefusal> {
         val refused = expire(nowMs)
         var hasSlots = true
-        while (hasSlots && entries.isNotEmpty()) {
-            val entry = order.present().head()
-            hasSlots = tryDispatch(entry.request)
-            if (hasSlots) settle(nowMs, entry)
+        while (hasSlots) {
+            val queue = order.present() ?: break
+            val entry = queue.head()
+            when (tryDispatch(entry.request)) {
+                DispatchStep.DISPATCHED -> settle(nowMs, entry)
+                DispatchStep.PASS_OVER_WORKSPACE -> order.passOver(queue)
+                DispatchStep.NO_SLOTS -> hasSlots = false
+            }
         }
+        order.endPassingOver()
         return refused
     }
 
--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/queue/TurnOrder.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/queue/TurnOrder.kt
@@ -12,8 +12,9 @@
     private val maxSavedTurns: Double,
 ) {
     private val idle = LinkedHashMap<WorkspaceId, WorkspaceQueue>()
-    private val savers = LinkedHashSet<WorkspaceQueue>()
-    private val round = LinkedHashSet<WorkspaceQueue>()
+    private val savers = TurnList()
+    private val round = TurnList()
+    private val passedOver = ArrayList<Pair<TurnList, WorkspaceQueue>>()
     private var turn = 0.0
 
     /** Number of workspaces whose saved turns are remembered. */
@@ -33,10 +34,9 @@
         return queue
     }
 
-    /** Notes that [queue] has become empty; it drops out of the order when its turn comes. */
+    /** Takes [queue], which has become empty, out of the order. */
     fun deactivate(queue: WorkspaceQueue) {
-        savers.remove(queue)
-        round.remove(queue)
+        queue.list?.remove(queue)
         queue.emptiedAtTurn = turn
         idle[queue.workspace] = queue
     }
@@ -50,23 +50,42 @@
         turn += cost / activeWeight
         queue.credit -= cost
         forgetIdle()
-        if (savers.remove(queue)) placeLast(queue)
+        if (queue.list !== savers) return
+        savers.remove(queue)
+        placeLast(queue)
     }
 
-    /** Returns the workspace whose turn it is. */
-    fun present(): WorkspaceQueue {
+    /** Returns the workspace whose turn it is, or null if none waits. */
+    fun present(): WorkspaceQueue? {
         savers.firstOrNull()?.let { return it }
         while (true) {
-            val queue = round.first()
+            val queue = round.firstOrNull() ?: return null
             if (queue.credit > 0.0) return queue
             queue.credit += queue.weight
             round.remove(queue)
-            round.add(queue)
+            round.addLast(queue)
+        }
+    }
+
+    /** Leaves out [queue], which is the present one, until [endPassingOver]. */
+    fun passOver(queue: WorkspaceQueue) {
+        val list = queue.list ?: return
+        list.remove(queue)
+        passedOver += list to queue
+    }
+
+    /** Gives the workspaces that were passed over their places back. */
+    fun endPassingOver() {
+        for (index in passedOver.indices.reversed()) {
+            val (list, queue) = passedOver[index]
+            if (queue.list == null && !queue.isEmpty) list.addFirst(queue)
         }
+        passedOver.clear()
     }
 
     private fun placeLast(queue: WorkspaceQueue) {
-        if (queue.credit > 0.0) savers.add(queue) else round.add(queue)
+        val list = if (queue.credit > 0.0) savers else round
+        list.addLast(queue)
     }
 
     private fun forgetIdle() {
--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/queue/WorkspaceQueue.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/queue/WorkspaceQueue.kt
@@ -12,6 +12,9 @@
         private set
     var credit: Double = 0.0
     var emptiedAtTurn: Double = 0.0
+    var list: TurnList? = null
+    var previous: WorkspaceQueue? = null
+    var next: WorkspaceQueue? = null
 
     val size: Int
         get() = entries.size
--- a/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/queue/FairnessTest.kt
+++ b/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/queue/FairnessTest.kt
@@ -68,11 +68,12 @@
             while (busyUntilMs.isNotEmpty() && busyUntilMs.peek() <= nowMs) busyUntilMs.poll()
             val expired =
                 queue.dispatch(nowMs) { request ->
-                    if (busyUntilMs.size == SLOTS) return@dispatch false
+                    if (busyUntilMs.size == SLOTS) return@dispatch DispatchStep.NO_SLOTS
                     val serviceMs = SERVICE_MS * (0.9 + 0.2 * random.nextDouble())
                     val (workspace, atMs) = arrivedAtMs.getValue(request.id)
                     run.latenciesMs.getValue(workspace) += nowMs + serviceMs - atMs
                     busyUntilMs.add(nowMs + serviceMs)
+                    DispatchStep.DISPATCHED
                 }
             expired.forEach { run.refused.merge(arrivedAtMs.getValue(it.request.id).first, 1, Int::plus) }
         }
