--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/AttemptSample.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/AttemptSample.kt
@@ -7,6 +7,16 @@
         val latencyMs: Long,
     ) : AttemptSample
 
+    /**
+     * The worker had not answered when the request's time was up after [waitedMs].
+     *
+     * It counts against the worker only if others of its upstream would have answered by then, so that a caller with a
+     * short deadline can't have healthy workers ejected.
+     */
+    data class TimedOut(
+        val waitedMs: Long,
+    ) : AttemptSample
+
     /** The worker was not reached, did not answer, or answered with an error of its own. */
     data object Failed : AttemptSample
 
--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/WorkerGroup.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/WorkerGroup.kt
@@ -24,10 +24,25 @@
         val measured = states.filter { !it.isEjected && it.latencySamples >= settings.outlierMinSamples }
         if (measured.size < MIN_COMPARED_WORKERS) return emptyList()
         medianLatencyMs = measured.map { it.latencyMs }.sorted()[measured.size / 2]
-        val limitMs = maxOf(medianLatencyMs * settings.outlierFactor, medianLatencyMs + settings.outlierMinMs)
+        val limitMs = slowLimitMs(settings)
         return measured.filter { it.latencyMs > limitMs }.sortedByDescending { it.latencyMs }
     }
 
+    /** Returns whether an answer after [latencyMs] is slow against the median. */
+    fun isSlow(
+        latencyMs: Long,
+        settings: HealthSettings,
+    ): Boolean = medianLatencyMs > 0.0 && latencyMs > slowLimitMs(settings)
+
+    /** Returns whether a worker should have answered within [waitedMs]. */
+    fun isTimeout(
+        waitedMs: Long,
+        settings: HealthSettings,
+    ): Boolean = isSlow(waitedMs, settings) || waitedMs >= settings.unmeasuredTimeoutMs
+
+    private fun slowLimitMs(settings: HealthSettings): Double =
+        maxOf(medianLatencyMs * settings.outlierFactor, medianLatencyMs + settings.outlierMinMs)
+
     /** Returns how much slower than the median [state] is, from 1 to [MAX_SLOWNESS]; old measurements count less. */
     fun slowness(
         nowMs: Long,
--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/WorkerPool.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/WorkerPool.kt
@@ -69,6 +69,7 @@
         state.inFlight = (state.inFlight - 1).coerceAtLeast(0)
         when (sample) {
             is AttemptSample.Served -> recordServed(nowMs, state, sample.latencyMs)
+            is AttemptSample.TimedOut -> recordTimeout(nowMs, state, sample.waitedMs)
             AttemptSample.Failed -> recordFailure(nowMs, state)
             AttemptSample.Neutral -> Unit
         }
@@ -164,7 +165,7 @@
         state: WorkerState,
         latencyMs: Long,
     ) {
-        if (isSlowProbe(groupOf(state), latencyMs)) {
+        if (groupOf(state).isSlow(latencyMs, settings)) {
             eject(nowMs, state, EjectionCause.PROBE_FAILED)
             return
         }
@@ -175,12 +176,14 @@
         changes += HealthChange.Returned(state.worker.id)
     }
 
-    private fun isSlowProbe(
-        group: WorkerGroup,
-        latencyMs: Long,
-    ): Boolean {
-        val medianMs = group.medianLatencyMs
-        return medianMs > 0.0 && latencyMs > maxOf(medianMs * settings.outlierFactor, medianMs + settings.outlierMinMs)
+    private fun recordTimeout(
+        nowMs: Long,
+        state: WorkerState,
+        waitedMs: Long,
+    ) {
+        if (!groupOf(state).isTimeout(waitedMs, settings)) return
+        if (!state.isEjected) state.recordLatency(nowMs, waitedMs)
+        recordFailure(nowMs, state)
     }
 
     private fun recordFailure(
@@ -216,6 +219,7 @@
         val doublings = state.ejections.coerceAtMost(MAX_DOUBLINGS)
         val durationMs = (settings.baseEjectionMs shl doublings).coerceAtMost(settings.maxEjectionMs)
         state.isEjected = true
+        state.consecutiveFailures = 0
         state.ejections += 1
         state.ejectedUntilMs = nowMs + durationMs
         changes += HealthChange.Ejected(state.worker.id, cause, state.ejectedUntilMs)
--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/model/Topology.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/model/Topology.kt
@@ -29,6 +29,6 @@
     val memoryIntervals: Int = DEFAULT_MEMORY_INTERVALS,
 ) {
     companion object {
-        const val DEFAULT_MEMORY_INTERVALS: Int = 5
+        const val DEFAULT_MEMORY_INTERVALS: Int = 2
     }
 }
--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/region/RegionChooser.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/region/RegionChooser.kt
@@ -33,7 +33,7 @@
         grants: DispatchGrants,
     ): RegionChoice {
         val origin = query.origin ?: entryRegion
-        if (!query.isRepeat) ramps.requested(nowMs, origin)
+        if (!query.isRetry) ramps.requested(nowMs, origin)
         val search = Search(nowMs, query, origin, grants)
         val holder = ramps.holder(nowMs, origin)
         return if (holder == null) searchAll(search) else searchHeld(search, holder)
--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/region/RegionQuery.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/region/RegionQuery.kt
@@ -8,7 +8,7 @@
  * A search for a worker of [upstream] in any region.
  *
  * [origin] is the region that the caller belongs to, null for that of the entry host. [excluded] workers were tried
- * already. [isRepeat] is true when the same request was searched for before, in a retry or from the queue.
+ * already. [isRetry] is true when the same request was searched for before, in a retry or from the queue.
  */
 data class RegionQuery(
     val upstream: UpstreamId,
@@ -16,5 +16,5 @@
     val answerBytes: Long,
     val origin: RegionId? = null,
     val excluded: Set<WorkerId> = emptySet(),
-    val isRepeat: Boolean = false,
+    val isRetry: Boolean = false,
 )
--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/worker/WorkerSelector.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/worker/WorkerSelector.kt
@@ -81,7 +81,7 @@
     ): Double {
         val occupancy = (state.inFlight + 1.0) / state.worker.slots
         val distance = if (state.worker.availabilityZone == query.nearZone) 1.0 else settings.otherZoneCost
-        val failures = 1.0 + state.consecutiveFailures
+        val failures = 1.0 + minOf(state.consecutiveFailures, MAX_COUNTED_FAILURES)
         return occupancy * distance * failures * group.slowness(nowMs, state) / weight(nowMs, state)
     }
 
@@ -100,4 +100,8 @@
         candidates[index] = candidates.last()
         candidates.removeAt(candidates.lastIndex)
     }
+
+    private companion object {
+        const val MAX_COUNTED_FAILURES = 3
+    }
 }
--- a/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/health/WorkerPoolTest.kt
+++ b/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/health/WorkerPoolTest.kt
@@ -58,6 +58,15 @@
         assertEquals(listOf<Long>(5_000, 10_000, 20_000, 40_000), durationsMs)
     }
 
+    @Test
+    fun `time-outs of callers in a hurry eject nobody`() {
+        serve(0 until 1_000) { 10 }
+        repeat(50) { pool.attemptEnded(1_000, workers[0].id, AttemptSample.TimedOut(waitedMs = 15)) }
+        assertTrue(!pool.isEjected(workers[0].id), "a worker that others would not have outrun")
+        repeat(3) { pool.attemptEnded(1_000, workers[0].id, AttemptSample.TimedOut(waitedMs = 400)) }
+        assertTrue(pool.isEjected(workers[0].id), "a worker that does not answer")
+    }
+
     @Test
     fun `a drain ends only when every source of it says so`() {
         val worker = workers[0].id
