Keep rate waits out of the queue's pace and name a caller's home region

Cause: a request that waited for its workspace's rate made the queue look slow, so that others were refused as unable to meet their deadline. Callers whose entry hosts died and who ask the hosts of another region moved traffic past the cap.

Change: the pace counts only waits for slots. Block tables name the region that a caller belongs to whatever is up, for the origin of a search for a worker.

Figures: asserted by tests; 100 requests/s of a dead region that arrive in another grow there by at most 20 an interval.

--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/queue/DispatchPace.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/queue/DispatchPace.kt
@@ -1,23 +1,32 @@
 package io.kumquatmill.routing.queue
 
-/** Measures the time between dispatches while requests wait. */
+/** Measures the time between dispatches while slots are short; other waits, as for a rate, do not count. */
 internal class DispatchPace {
     private var intervalMs = 0.0
-    private var waitingSinceMs = 0L
+    private var shortSinceMs: Long? = null
 
-    /** Notes that the queue had been empty until [nowMs]. */
-    fun backlogStarted(nowMs: Long) {
-        waitingSinceMs = nowMs
+    /** Notes that requests wait at [nowMs] because no slot is free. */
+    fun slotsShort(nowMs: Long) {
+        if (shortSinceMs == null) shortSinceMs = nowMs
+    }
+
+    /** Notes that no request waits for a slot. */
+    fun slotsFree() {
+        shortSinceMs = null
     }
 
     /** Notes a dispatch at [nowMs]. */
     fun dispatched(nowMs: Long) {
-        intervalMs += GAIN * (nowMs - waitingSinceMs - intervalMs)
-        waitingSinceMs = nowMs
+        val sinceMs = shortSinceMs ?: return
+        intervalMs += GAIN * (nowMs - sinceMs - intervalMs)
+        shortSinceMs = nowMs
     }
 
-    /** Returns the expected time between dispatches, at least the time that the present one already takes. */
-    fun expectedIntervalMs(nowMs: Long): Double = maxOf(intervalMs, (nowMs - waitingSinceMs).toDouble())
+    /** Returns the expected time between dispatches, at least what the present one takes already; zero if slots are free. */
+    fun expectedIntervalMs(nowMs: Long): Double {
+        val sinceMs = shortSinceMs ?: return 0.0
+        return maxOf(intervalMs, (nowMs - sinceMs).toDouble())
+    }
 
     private companion object {
         const val GAIN = 0.05
--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/queue/FairQueue.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/queue/FairQueue.kt
@@ -47,7 +47,7 @@
         if (size >= settings.maxTotal || sizeOf(request.workspace) >= settings.maxPerWorkspace) {
             return refuse(RefusalReason.QUEUE_FULL, waitMs)
         }
-        if (entries.isEmpty()) pace.backlogStarted(nowMs)
+        if (entries.isEmpty()) pace.slotsFree()
         enqueue(nowMs, QueueEntry(request))
         return QueueOffer.Queued(waitMs)
     }
@@ -73,6 +73,7 @@
             }
         }
         order.endPassingOver()
+        if (hasSlots) pace.slotsFree() else pace.slotsShort(nowMs)
         return refused
     }
 
--- a/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/queue/FairQueueTest.kt
+++ b/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/queue/FairQueueTest.kt
@@ -36,6 +36,15 @@
         assertIs<QueueOffer.Queued>(queue.offer(1_000, request("early", "small", deadlineAtMs = 60_000)))
     }
 
+    @Test
+    fun `a wait for a rate does not count as a wait for slots`() {
+        queue.offer(0, request("limited", "large"))
+        for (nowMs in 0L..4_000L step 1_000) {
+            queue.dispatch(nowMs) { if (it.workspace.value == "large") DispatchStep.PASS_OVER_WORKSPACE else DispatchStep.DISPATCHED }
+        }
+        assertIs<QueueOffer.Queued>(queue.offer(4_000, request("quick", "small", deadlineAtMs = 4_100)))
+    }
+
     @Test
     fun `a waiting request is given up as soon as it can't meet its deadline`() {
         queue.offer(0, request("patient", "small", deadlineAtMs = 50_000))
--- a/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/region/RegionChooserTest.kt
+++ b/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/region/RegionChooserTest.kt
@@ -42,6 +42,15 @@
         assertTrue(served >= 133, "requests of 140 a second that stred serves after the ramp: $served")
     }
 
+    @Test
+    fun `callers of another region whose hosts are dead fall under the cap too`() {
+        val fleet = RegionFleet()
+        fleet.downRegions += stred
+        for (nowMs in 0L until RegionFleet.TOTAL_MS step 10) fleet.request(nowMs, origin = stred)
+        val changes = fleet.changes(zapad)
+        assertTrue(changes.max() in 15..20, "greatest growth in zapad: ${changes.max()}, expected at most 20")
+    }
+
     @Test
     fun `the moved traffic stays below the ramp when requests come at random`() {
         for (seed in 1..5) {
--- a/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/region/RegionFleet.kt
+++ b/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/region/RegionFleet.kt
@@ -46,8 +46,9 @@
     fun request(
         nowMs: Long,
         host: Int = 0,
+        origin: RegionId = zapad,
     ): RegionChoice {
-        val choice = choosers[host].choose(nowMs, RegionQuery(testUpstream, 200, 5_000), grants)
+        val choice = choosers[host].choose(nowMs, RegionQuery(testUpstream, 200, 5_000, origin), grants)
         if (choice is RegionChoice.Chosen) servedAtMs.getOrPut(choice.worker.region) { ArrayList() } += nowMs
         return choice
     }
--- a/kumquatmill-steering/src/main/kotlin/io/kumquatmill/steering/block/BlockTable.kt
+++ b/kumquatmill-steering/src/main/kotlin/io/kumquatmill/steering/block/BlockTable.kt
@@ -31,6 +31,13 @@
         return regionLists[assigned[block].toInt()]
     }
 
+    /** Returns the region that [clientIp] belongs to while all sites are up, or null if that was not measured. */
+    fun homeRegionOf(clientIp: String): RegionId? {
+        val block = blockOf(parseIpv4(clientIp))
+        val site = if (block < 0) -1 else preferences.site(block, 0)
+        return if (site < 0) null else sites[site].region
+    }
+
     /** Returns the table for [changed] states of the same sites. */
     fun withSites(changed: List<Site>): BlockTable {
         val isSame = changed.map { it.region to it.capacity } == sites.map { it.region to it.capacity }
--- a/kumquatmill-steering/src/test/kotlin/io/kumquatmill/steering/block/BlockTableTest.kt
+++ b/kumquatmill-steering/src/test/kotlin/io/kumquatmill/steering/block/BlockTableTest.kt
@@ -56,6 +56,9 @@
             )
         assertEquals(listOf(regions[3]), table.regionsOf("10.1.2.255"))
         assertEquals(1, table.regionsOf("200.0.7.255").size)
+        val failedOver = table.withSites(sites.map { it.copy(isUp = it.region != regions[3]) })
+        assertEquals(listOf(regions[4]), failedOver.regionsOf("10.1.2.255"))
+        assertEquals(regions[3], failedOver.homeRegionOf("10.1.2.255"))
         for (unknown in listOf("10.1.3.0", "10.1.1.255", "200.0.8.0", "::1", "10.1.2", "10.1.2.256", "")) {
             assertEquals(emptyList(), table.regionsOf(unknown), "regions of '$unknown'")
         }
