Measure decisions with the choice of a region

Cause: the cost of a decision left out region choice and shift ramp, and no test showed what choosing by lagging load reports does.

Change: the measured decision takes the second region, with link and ramp. A test follows reports that lag by 19 requests and finds more than 7 at a worker.

--- a/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/DecisionCostTest.kt
+++ b/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/DecisionCostTest.kt
@@ -8,28 +8,35 @@
 import io.kumquatmill.common.outcome.RefusalReason
 import io.kumquatmill.routing.health.AttemptSample
 import io.kumquatmill.routing.health.WorkerPool
+import io.kumquatmill.routing.model.Link
 import io.kumquatmill.routing.model.Route
+import io.kumquatmill.routing.model.ShiftCap
 import io.kumquatmill.routing.queue.DispatchStep
 import io.kumquatmill.routing.queue.FairQueue
 import io.kumquatmill.routing.queue.QueueSettings
 import io.kumquatmill.routing.queue.QueuedRequest
+import io.kumquatmill.routing.region.DispatchGrants
+import io.kumquatmill.routing.region.RegionChoice
+import io.kumquatmill.routing.region.RegionChooser
+import io.kumquatmill.routing.region.RegionQuery
 import io.kumquatmill.routing.request.RequestState
 import io.kumquatmill.routing.retry.RetryBudget
 import io.kumquatmill.routing.retry.RetryPolicy
-import io.kumquatmill.routing.worker.WorkerChoice
-import io.kumquatmill.routing.worker.WorkerQuery
+import io.kumquatmill.routing.shift.ShiftRamps
 import io.kumquatmill.routing.worker.WorkerSelector
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertTrue
 
 class DecisionCostTest {
-    private val query = WorkerQuery(testUpstream, zapad, AvailabilityZoneId("zapad-0"))
+    private val query = RegionQuery(testUpstream, requestBytes = 200, answerBytes = 5_000)
+    private val links = listOf(Link(zapad, stred, 280.0), Link(stred, zapad, 280.0))
+    private val grants = DispatchGrants(trySlot = { it.value.startsWith("stred") }, releaseSlot = {}, tryLink = { true })
     private val route = Route(RouteId("status"), "/status", setOf("GET"), testUpstream, isIdempotent = true)
     private val notRun = Outcome.NotRun(RefusalReason.NO_CAPACITY, 100)
 
     @Test
-    fun `queue, selection and retry take less than ten microseconds however many workspaces there are`() {
+    fun `queue, choice of region and worker, and retry take less than ten microseconds however many workspaces there are`() {
         val p99sNs = listOf(8, 1_000, 100_000).associateWith { p99Ns(it) }
         println("decision cost: p99 in ns by workspaces $p99sNs")
         assertTrue(p99sNs.values.max() < 10_000, "p99 in ns by workspaces: $p99sNs, expected below 10000")
@@ -37,8 +44,10 @@
 
     private fun p99Ns(workspaceCount: Int): Long {
         val random = Random(1)
-        val pool = WorkerPool(testWorkers(28), random)
-        val selector = WorkerSelector(pool, random)
+        val pool = WorkerPool(testWorkers(10, zapad) + testWorkers(10, stred, prefix = "stred"), random)
+        val ramps = ShiftRamps(ShiftCap(requestsPerS = 1e6, intervalMs = 1_000)) { _, _ -> 1.0 }
+        val zone = AvailabilityZoneId("zapad-0")
+        val chooser = RegionChooser(zapad, zone, links, pool, WorkerSelector(pool, random), ramps)
         val queue = FairQueue(QueueSettings(maxTotal = 2 * WAITING))
         val budget = RetryBudget()
         val policy = RetryPolicy(budget)
@@ -54,7 +63,7 @@
             if (round < WAITING) continue
             var isFree = true
             queue.dispatch(nowMs) { if (isFree) DispatchStep.DISPATCHED.also { isFree = false } else DispatchStep.NO_SLOTS }
-            val worker = (selector.select(nowMs, query) { true } as WorkerChoice.Chosen).worker.id
+            val worker = (chooser.choose(nowMs, query, grants) as RegionChoice.Chosen).worker.id
             pool.attemptStarted(worker)
             budget.deposit(nowMs, workspace, zapad)
             policy.decide(nowMs, state.withAttempt(worker), zapad, notRun)
--- a/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/TestWorkers.kt
+++ b/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/TestWorkers.kt
@@ -10,23 +10,14 @@
 val testUpstream = UpstreamId("status-service")
 val zapad = RegionId("zapad")
 val stred = RegionId("stred")
-val vychod = RegionId("vychod")
-
-fun testWorker(
-    number: Int,
-    region: RegionId = zapad,
-    slots: Int = 7,
-) = Worker(
-    WorkerId("worker-$number"),
-    testUpstream,
-    region,
-    AvailabilityZoneId("$region-${number % 2}"),
-    HostAddress("10.0.0.$number", 8080),
-    slots,
-)
 
 fun testWorkers(
     count: Int,
     region: RegionId = zapad,
     slots: Int = 7,
-): List<Worker> = (1..count).map { testWorker(it, region, slots) }
+    prefix: String = "worker",
+): List<Worker> =
+    (1..count).map { number ->
+        val zone = AvailabilityZoneId("$region-${number % 2}")
+        Worker(WorkerId("$prefix-$number"), testUpstream, region, zone, HostAddress("10.0.0.$number", 8080), slots)
+    }
--- a/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/region/RegionFleet.kt
+++ b/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/region/RegionFleet.kt
@@ -2,7 +2,6 @@
 
 import io.kumquatmill.common.id.AvailabilityZoneId
 import io.kumquatmill.common.id.RegionId
-import io.kumquatmill.common.id.WorkerId
 import io.kumquatmill.routing.health.WorkerPool
 import io.kumquatmill.routing.model.Link
 import io.kumquatmill.routing.model.ShiftCap
@@ -20,15 +19,7 @@
     cap: ShiftCap = ShiftCap(requestsPerS = 20.0, intervalMs = 1_000),
     partOfCap: Double = 1.0 / hostCount,
 ) {
-    private val workers =
-        testWorkers(9, zapad) +
-            testWorkers(9, stred).map {
-                it.copy(
-                    id =
-                        io.kumquatmill.common.id
-                            .WorkerId("s-${it.id}"),
-                )
-            }
+    private val workers = testWorkers(9, zapad) + testWorkers(9, stred, prefix = "stred")
     val downRegions = HashSet<RegionId>()
     val servedAtMs = HashMap<RegionId, MutableList<Long>>()
     var isLinkFull = false
--- a/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/worker/WorkerSelectorTest.kt
+++ b/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/worker/WorkerSelectorTest.kt
@@ -40,6 +40,16 @@
         }
     }
 
+    @Test
+    fun `following the lagging load reports instead passes the slots`() {
+        val busy = IntArray(28)
+        repeat(10) {
+            val reported = busy.copyOf()
+            repeat(19) { busy[reported.indices.minBy { reported[it] }] += 1 }
+        }
+        assertTrue(busy.max() > 7, "requests of a worker by reports that lag by 19 of 196 requests: ${busy.max()}, expected more than 7")
+    }
+
     @Test
     fun `requests spread evenly over the workers`() {
         val pool = WorkerPool(workers, Random(7))
