--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/queue/WorkspaceQueue.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/queue/WorkspaceQueue.kt
@@ -11,6 +11,10 @@
     var weight: Int = 1
         private set
     var credit: Double = 0.0
+    var emptiedAtTurn: Double = 0.0
+    var list: TurnList? = null
+    var previous: WorkspaceQueue? = null
+    var next: WorkspaceQueue? = null
 
     val size: Int
         get() = entries.size
