--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LenderBook.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LenderBook.kt
@@ -74,16 +74,15 @@
         if (!state.isActive || !fleet.hasStanding(nowMs)) return
         if (state.lent.isEmpty() && state.lent.wishesByBorrower.isEmpty()) return
         val targets = targetsOf(nowMs, state)
-        val step = max(1, state.anchor.units / SMALLEST_STEP_DIVISOR)
         val kept = if (isLeaving) 0 else targets[fleet.self] ?: 0
-        if (isAnyShort(nowMs, state, targets, step)) {
+        if (isAnyShort(nowMs, state, targets)) {
             state.lent.byBorrower
                 .filterKeys { fleet.isMember(it) }
-                .forEach { (borrower, loan) -> recallExcess(nowMs, state, borrower, loan, targets[borrower.host] ?: 0, step) }
+                .forEach { (borrower, loan) -> recallExcess(nowMs, state, borrower, loan, targets[borrower.host] ?: 0) }
         }
         wishingMembers(state)
             .sortedBy { borrower -> state.lent[borrower]?.liveUnits(nowMs) ?: 0 }
-            .forEach { borrower -> grantMissing(nowMs, state, borrower, targets[borrower.host] ?: 0, kept, step) }
+            .forEach { borrower -> grantMissing(nowMs, state, borrower, targets[borrower.host] ?: 0, kept) }
     }
 
     /** Returns whether a host has clearly less than its fair part, so that others have to give units back. */
@@ -91,12 +90,12 @@
         nowMs: Long,
         state: LimitState,
         targets: Map<HostId, Long>,
-        step: Long,
     ): Boolean {
         val ownTarget = if (isLeaving) 0 else targets[fleet.self] ?: 0
-        if (ownTarget - state.ownUnits >= step) return true
+        if (ownTarget - state.ownUnits >= stepOf(ownTarget)) return true
         return wishingMembers(state).any { borrower ->
-            (targets[borrower.host] ?: 0) - (state.lent[borrower]?.liveUnits(nowMs) ?: 0) >= step
+            val target = targets[borrower.host] ?: 0
+            target - (state.lent[borrower]?.liveUnits(nowMs) ?: 0) >= stepOf(target)
         }
     }
 
@@ -145,15 +144,16 @@
         state.lent.wishesByBorrower.keys
             .filter { fleet.isMember(it) }
 
+    private fun stepOf(target: Long): Long = max(1, target / SMALLEST_STEP_DIVISOR)
+
     private fun recallExcess(
         nowMs: Long,
         state: LimitState,
         borrower: Borrower,
         loan: LentLoan,
         target: Long,
-        step: Long,
     ) {
-        if (loan.liveUnits(nowMs) - target < step) {
+        if (loan.liveUnits(nowMs) <= target) {
             loan.recalledTo = null
             return
         }
@@ -169,7 +169,6 @@
         borrower: Borrower,
         target: Long,
         kept: Long,
-        step: Long,
     ) {
         val pair = pairs[borrower.host] ?: return
         if (nowMs - pair.notedAtMs > settings.loanMs / 2 || durationMs(nowMs) <= 0) return
@@ -179,7 +178,7 @@
         val bound = loan?.committedUnits(nowMs) ?: 0
         val free = min(state.ownUnits - kept, state.meter.movableUnits()).coerceAtLeast(0)
         val units = min(target, bound + free)
-        if (units - held >= step || (units > held && units == target)) grant(nowMs, state, borrower, units)
+        if (units - held >= stepOf(target) || (units > held && units == target)) grant(nowMs, state, borrower, units)
     }
 
     private fun restate(
@@ -255,8 +254,8 @@
     }
 
     private companion object {
-        /** Part of the own units below which a difference is not worth a message. */
-        const val SMALLEST_STEP_DIVISOR = 10
+        /** Part of the fair units below which a difference is not worth a message. */
+        const val SMALLEST_STEP_DIVISOR = 8
     }
 }
 
