--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/MembershipAgent.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/MembershipAgent.kt
@@ -42,18 +42,18 @@
  * Feed it ticks, replies of the store and messages of peers, and carry out the [MembershipOutput] that each returns.
  * [configurationRevision] returns the revision of the lists in force. It is not safe for use by several threads.
  */
-class MembershipAgent(
+class MembershipAgent internal constructor(
     private val description: HostDescription,
     private val settings: MembershipSettings,
     random: Random,
+    private val memory: WitnessMemory,
     private val configurationRevision: () -> Long,
 ) {
     private val holder = RosterHolder()
-    private val memory = WitnessMemory()
     private val tracker = StandingTracker(description.host, memory)
     private val hostList = HostListView(description.host, settings.hostListLagMs)
-    private val watcher = StoreWatcher(settings, random) { holder.members.size }
-    private val leases = LeaseKeeper(description.host, settings, watcher.view) { holder.members.size }
+    private val watcher = StoreWatcher(settings, random, ::fleetSize)
+    private val leases = LeaseKeeper(description.host, settings, watcher, random, ::fleetSize)
     private val coordinator = RosterCoordinator(description.host, settings, watcher, holder, hostList, tracker)
     private val inquiry = PeerInquiry(description, settings, holder, random)
     private val freshness = ConfigurationFreshness()
@@ -64,6 +64,13 @@
     private var drainedMs: Long? = null
     private var hasLeft = false
 
+    constructor(
+        description: HostDescription,
+        settings: MembershipSettings,
+        random: Random,
+        configurationRevision: () -> Long,
+    ) : this(description, settings, random, WitnessMemory(), configurationRevision)
+
     /** This host under its current incarnation, which is [NOT_JOINED] until the store has answered. */
     val self: Member
         get() = description.member(incarnation)
@@ -162,6 +169,8 @@
 
     private inline fun output(block: (OutputBuilder) -> Unit): MembershipOutput = OutputBuilder().also(block).build()
 
+    private fun fleetSize(): Int = maxOf(holder.members.size, watcher.view.records.size)
+
     private fun isMember(): Boolean = holder.isMember(description.host, incarnation)
 
     private fun keepRecord(
@@ -194,8 +203,7 @@
 
     private fun isStoreSilent(nowMs: Long): Boolean {
         val evidenceMs = watcher.evidenceMs ?: return true
-        val fleetSize = holder.members.size
-        val usualAgeMs = settings.renewPeriodMs(fleetSize) + settings.watchWaitMs(fleetSize) + SILENCE_MARGIN_MS
+        val usualAgeMs = settings.renewPeriodMs(fleetSize()) + settings.watchWaitMs(fleetSize()) + SILENCE_MARGIN_MS
         return !watcher.isUp || nowMs - evidenceMs > usualAgeMs
     }
 
@@ -279,6 +287,7 @@
                 roster = holder.version,
                 configurationRevision = configurationRevision(),
                 storeWord = freshness.wordToPass(nowMs, settings.freshnessMs, configurationRevision()),
+                voteAgesMs = tracker.voteAgesToRelay(nowMs, request.epoch, settings.standingMs),
             )
         out.send(from, reply)
     }
@@ -293,6 +302,7 @@
         val sentAtMs = inquiry.sentAtMs(reply.nonce) ?: return
         memory.hear(reply.highestEpoch)
         reply.vouchedEpoch?.let { tracker.onVouched(from, fromIncarnation, it, sentAtMs) }
+        tracker.onRelayedVotes(reply.roster.epoch, sentAtMs, reply.voteAgesMs)
         reply.storeWord?.let { freshness.onWord(sentAtMs, it, configurationRevision()) }
         out.peerRevision(from, reply.configurationRevision)
         if (reply.roster > holder.version && isStoreSilent(nowMs)) pull(nowMs, from, out)
