Check that limits recover after the last failure

Cause: safe schedules could still leak units for good. Change: after 40 s of failures and 45 s of rest one host must get 95 % of a rate and all slots; 20 seeds.

--- a/kumquatmill-limits/src/test/kotlin/io/kumquatmill/limits/ledger/FakeFleet.kt
+++ b/kumquatmill-limits/src/test/kotlin/io/kumquatmill/limits/ledger/FakeFleet.kt
@@ -59,6 +59,9 @@
 
     /** Extra delay of each message. */
     var extraDelayMs: (LedgerMessage) -> Long = { 0 }
+
+    /** Whether a schedule still lets things fail. */
+    var isFaulty = true
     var nowMs = 0L
         private set
     private val events = PriorityQueue<Event>(compareBy<Event> { it.atMs }.thenBy { it.order })
--- a/kumquatmill-limits/src/test/kotlin/io/kumquatmill/limits/ledger/RandomScheduleTest.kt
+++ b/kumquatmill-limits/src/test/kotlin/io/kumquatmill/limits/ledger/RandomScheduleTest.kt
@@ -30,6 +30,32 @@
         assertTrue(taken > SEEDS * 1_000, "the schedules took only $taken tokens")
     }
 
+    @Test
+    fun `after the last failure one host gets the whole rate and all slots again`() {
+        for (seed in 1..RECOVERY_SEEDS) {
+            val fleet = run(seed)
+            recover(fleet)
+            val index = 1 + seed % 7
+            fleet.every(10) {
+                fleet.attempt(fleet.host(index), acme)
+                fleet.attempt(fleet.host(index), large, holdMs = 1_000)
+            }
+            fleet.runUntil(fleet.nowMs + 5_000)
+            val before = fleet.count(acme)
+            fleet.runUntil(fleet.nowMs + 5_000)
+            assertTrue(fleet.count(acme) - before >= 475, "seed $seed: ${fleet.count(acme) - before} taken of 500 in 5 s")
+            assertTrue(fleet.units(fleet.host(index), large) == 14L, "seed $seed: ${fleet.units(fleet.host(index), large)} of 14 slots")
+        }
+    }
+
+    /** Ends all failures and load, and waits for the roster and the longest requests. */
+    private fun recover(fleet: FakeFleet) {
+        fleet.isFaulty = false
+        fleet.network = FakeNetwork()
+        fleet.edit(specs, maxDelayMs = 100)
+        fleet.runUntil(fleet.nowMs + 45_000)
+    }
+
     @Test
     fun `the schedules find each safeguard that is switched off`() {
         val weakened =
@@ -61,12 +87,12 @@
             )
         val fleet = FakeFleet(SEVEN, specs, seed = seed, network = network, maxDrift = DRIFT, safeguards = safeguards)
         val hungry = mutableSetOf(1, 2)
-        fleet.every(20) { hungry.forEach { load(fleet, it) } }
+        fleet.every(20) { if (fleet.isFaulty) hungry.forEach { load(fleet, it) } }
         fleet.every(3_000) {
             hungry.clear()
             repeat(random.nextInt(1, 4)) { hungry += random.nextInt(1, 8) }
         }
-        fleet.every(2_500) { fail(fleet, random) }
+        fleet.every(2_500) { if (fleet.isFaulty) fail(fleet, random) }
         fleet.runUntil(DURATION_MS)
         return fleet
     }
@@ -112,6 +138,7 @@
 
     private companion object {
         const val SEEDS = 200
+        const val RECOVERY_SEEDS = 20
         const val DURATION_MS = 40_000L
         const val DRIFT = 0.01
     }
