Warm up before the cost of a decision is measured

Cause: the test failed once after a clean build (p99 12,629 ns with 8 workspaces, the first case; 4,346 ns and 6,230 ns after it). The first case was measured while the virtual machine still compiled the code.

Ruled out: a higher bound; it stays at 10,000 ns for all cases.

Change: two runs go before the measured ones.

--- a/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/DecisionCostTest.kt
+++ b/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/DecisionCostTest.kt
@@ -37,6 +37,7 @@
 
     @Test
     fun `queue, choice of region and worker, and retry take less than ten microseconds however many workspaces there are`() {
+        repeat(WARM_UP_RUNS) { p99Ns(workspaceCount = 8) }
         val p99sNs = listOf(8, 1_000, 100_000).associateWith { p99Ns(it) }
         println("decision cost: p99 in ns by workspaces $p99sNs")
         assertTrue(p99sNs.values.max() < 10_000, "p99 in ns by workspaces: $p99sNs, expected below 10000")
@@ -75,6 +76,7 @@
 
     private companion object {
         const val WAITING = 400
+        const val WARM_UP_RUNS = 2
         const val ROUNDS = 100_000
     }
 }
