--- /dev/null
+++ b/kumquatmill-wire/src/main/kotlin/io/kumquatmill/wire/PeerLink.kt
@@ -0,0 +1,169 @@
+package io.kumquatmill.wire
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import io.kumquatmill.common.fleet.HostAddress
+import io.kumquatmill.common.time.MonotonicClock
+import io.kumquatmill.node.message.PeerEnvelope
+import kotlinx.coroutines.TimeoutCancellationException
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.withTimeoutOrNull
+import java.io.IOException
+
+private val logger = KotlinLogging.logger {}
+
+/** The connection that carries messages to one peer; it is opened when there is something to send. */
+internal class PeerLink(
+    private val address: HostAddress,
+    private val settings: PeerTransportSettings,
+    private val selector: SelectorManager,
+    private val clock: MonotonicClock,
+    private val backoff: Backoff,
+    private val counters: PeerTransportCounters,
+) {
+    private val ring = MessageRing(settings.ringCapacity, counters)
+    private val wakeUp = Channel<Unit>(Channel.CONFLATED)
+
+    @Volatile
+    private var lastHeardMs = 0L
+
+    @Volatile
+    private var lastOfferedMs = clock.nowMs()
+
+    val depth: Int
+        get() = ring.depth
+
+    /** Returns whether nothing was sent for so long that the link is to be forgotten. */
+    val isIdle: Boolean
+        get() = ring.isEmpty && clock.nowMs() - lastOfferedMs > settings.idlePeerMs
+
+    /** Queues [envelope] without waiting. */
+    fun offer(envelope: PeerEnvelope) {
+        lastOfferedMs = clock.nowMs()
+        ring.offer(QueuedMessage(envelope, lastOfferedMs))
+        wakeUp.trySend(Unit)
+    }
+
+    /** Sends what is queued until the link is idle; then [forget] says whether it may end. */
+    suspend fun run(forget: () -> Boolean) {
+        while (currentCoroutineContext().isActive) {
+            if (isIdle && forget()) return
+            if (!ring.isEmpty) sendOverOneConnection() else awaitMessage()
+        }
+    }
+
+    private suspend fun sendOverOneConnection() {
+        try {
+            open().use { socket -> exchange(socket) }
+        } catch (e: IOException) {
+            logger.debug { "connection to peer $address ended: ${e.message}; a new one follows" }
+            delay(backoff.nextMs())
+        }
+    }
+
+    private suspend fun open(): Socket {
+        val socket =
+            try {
+                withTimeout(settings.connectTimeoutMs) { aSocket(selector).tcp().connect(address.ip, address.port) { noDelay = true } }
+            } catch (e: TimeoutCancellationException) {
+                throw IOException("no connection within ${settings.connectTimeoutMs} ms", e)
+            }
+        counters.opened.increment()
+        return socket
+    }
+
+    private suspend fun exchange(socket: Socket) =
+        coroutineScope {
+            lastHeardMs = clock.nowMs()
+            val input = socket.openReadChannel()
+            val output = socket.openWriteChannel()
+            launch { readHeartbeats(input, socket) }
+            launch { closeWhenSilent(socket) }
+            try {
+                writeUntilIdle(output)
+            } finally {
+                coroutineContext.cancelChildren()
+                socket.close()
+            }
+        }
+
+    private suspend fun readHeartbeats(
+        input: ByteReadChannel,
+        socket: Socket,
+    ) {
+        try {
+            while (true) {
+                counters.bytesReceived.add(input.readFrame(maxBytes = 0).size.toLong() + LENGTH_BYTES)
+                lastHeardMs = clock.nowMs()
+                backoff.reset()
+            }
+        } catch (e: IOException) {
+            logger.debug { "peer $address closed the connection: ${e.message}" }
+            socket.close()
+        }
+    }
+
+    private suspend fun closeWhenSilent(socket: Socket) {
+        while (clock.nowMs() - lastHeardMs <= settings.silentMs) delay(settings.heartbeatIntervalMs / 2)
+        counters.silent.increment()
+        logger.warn { "peer $address was silent for ${settings.silentMs} ms: the connection is closed and opened anew" }
+        socket.close()
+    }
+
+    private suspend fun writeUntilIdle(output: ByteWriteChannel) {
+        var heartbeatDueMs = clock.nowMs()
+        while (!isIdle) {
+            val nowMs = clock.nowMs()
+            if (nowMs >= heartbeatDueMs) {
+                write(output, heartbeatFrame)
+                heartbeatDueMs = nowMs + settings.heartbeatIntervalMs
+            }
+            val message = ring.poll(nowMs - settings.maxMessageAgeMs)
+            if (message == null) awaitMessage() else send(output, message.envelope)
+        }
+    }
+
+    private suspend fun send(
+        output: ByteWriteChannel,
+        envelope: PeerEnvelope,
+    ) {
+        val content = PeerCodec.encode(envelope)
+        if (content.size > settings.maxFrameBytes) {
+            counters.dropped.increment()
+            logger.error { "message of ${content.size} bytes to ${envelope.to} dropped: at most ${settings.maxFrameBytes} are allowed" }
+            return
+        }
+        try {
+            write(output, content)
+            counters.sent.increment()
+        } catch (e: IOException) {
+            counters.dropped.increment()
+            throw e
+        }
+    }
+
+    private suspend fun write(
+        output: ByteWriteChannel,
+        content: ByteArray,
+    ) {
+        output.writeFrame(content)
+        counters.bytesSent.add(content.size.toLong() + LENGTH_BYTES)
+    }
+
+    private suspend fun awaitMessage() {
+        withTimeoutOrNull(settings.heartbeatIntervalMs) { wakeUp.receive() }
+    }
+}
--- /dev/null
+++ b/kumquatmill-wire/src/main/kotlin/io/kumquatmill/wire/PeerTransport.kt
@@ -0,0 +1,85 @@
+package io.kumquatmill.wire
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.aSocket
+import io.kumquatmill.common.fleet.HostAddress
+import io.kumquatmill.common.time.MonotonicClock
+import io.kumquatmill.node.message.PeerEnvelope
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExecutorCoroutineDispatcher
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.Executors
+import kotlin.random.Random
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * Carries messages between entry hosts: CBOR in frames with a length in front, over TCP.
+ *
+ * Each direction of a pair of hosts has a connection of its own. [send] never waits: a message may be lost, and the oldest is
+ * when a peer's ring is full. [onMessage] is called on the transport's thread and must not block.
+ */
+class PeerTransport(
+    private val listenAddress: HostAddress,
+    private val settings: PeerTransportSettings = PeerTransportSettings(),
+    private val clock: MonotonicClock = MonotonicClock.system,
+    private val random: Random = Random.Default,
+    private val onMessage: (PeerEnvelope) -> Unit,
+) : AutoCloseable {
+    val counters = PeerTransportCounters()
+
+    private val selectorThread = singleThread("peer-selector")
+    private val workThread = singleThread("peer-transport")
+    private val selector = SelectorManager(selectorThread)
+    private val faults = CoroutineExceptionHandler { _, e -> logger.error(e) { "a peer connection failed" } }
+    private val scope = CoroutineScope(SupervisorJob() + workThread + faults)
+    private val links = ConcurrentHashMap<HostAddress, PeerLink>()
+
+    /** Number of messages that wait for their connections. */
+    val queuedMessages: Int
+        get() = links.values.sumOf { it.depth }
+
+    /** Binds the listening socket and starts to receive. */
+    fun start() {
+        val server =
+            runBlocking(workThread) {
+                aSocket(selector).tcp().bind(listenAddress.ip, listenAddress.port) { reuseAddress = true }
+            }
+        scope.launch { server.use { PeerListener(settings, counters, onMessage).run(scope, it) } }
+    }
+
+    /** Queues [envelope] for the peer at [address]. */
+    fun send(
+        address: HostAddress,
+        envelope: PeerEnvelope,
+    ) {
+        links.compute(address) { _, link -> (link ?: startLink(address)).apply { offer(envelope) } }
+    }
+
+    override fun close() {
+        scope.cancel()
+        selector.close()
+        selectorThread.close()
+        workThread.close()
+    }
+
+    private fun startLink(address: HostAddress): PeerLink {
+        val backoff = Backoff(settings.reconnectMinMs, settings.reconnectMaxMs, Random(random.nextLong()))
+        val link = PeerLink(address, settings, selector, clock, backoff, counters)
+        scope.launch { link.run { forget(address) } }
+        return link
+    }
+
+    private fun forget(address: HostAddress): Boolean =
+        links.computeIfPresent(address) { _, link -> if (link.isIdle) null else link } == null
+
+    private fun singleThread(name: String): ExecutorCoroutineDispatcher =
+        Executors.newSingleThreadExecutor { task -> Thread(task, name).apply { isDaemon = true } }.asCoroutineDispatcher()
+}
