--- /dev/null
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/CallerHandler.kt
@@ -0,0 +1,144 @@
+package io.kumquatmill.daemon.caller
+
+import io.kumquatmill.common.http.HeaderNames
+import io.kumquatmill.common.id.RequestId
+import io.kumquatmill.common.outcome.Outcome
+import io.kumquatmill.common.outcome.RefusalReason
+import io.kumquatmill.common.time.MonotonicClock
+import io.kumquatmill.configuration.model.KeyHash
+import io.kumquatmill.node.event.NodeEvent
+import io.kumquatmill.settings.RequestLimits
+import io.undertow.server.HttpHandler
+import io.undertow.server.HttpServerExchange
+import org.http4k.core.Response
+import org.xnio.XnioExecutor
+import java.util.concurrent.TimeUnit
+
+/** Takes the node's events of callers; returns false when there is no room. */
+internal fun interface RequestSink {
+    fun offer(event: NodeEvent): Boolean
+}
+
+/**
+ * Reads callers' requests and hands them to the node, without a thread for each.
+ *
+ * It answers at once when a request is malformed, too large, too slow, or when there is no room for it.
+ */
+internal class CallerHandler(
+    private val limits: RequestLimits,
+    private val pending: PendingRequests,
+    private val clock: MonotonicClock,
+    private val nextRequestId: () -> RequestId,
+    private val requests: RequestSink,
+    private val cancellations: RequestSink,
+) : HttpHandler {
+    override fun handleRequest(exchange: HttpServerExchange) {
+        if (exchange.requestContentLength > limits.maxBodyBytes) {
+            exchange.isPersistent = false
+            return refuse(exchange, RefusalReason.BODY_TOO_LARGE, null)
+        }
+        val timer = exchange.ioThread.executeAfter({ onSlowBody(exchange) }, limits.bodyTimeoutMs, TimeUnit.MILLISECONDS)
+        exchange.requestReceiver.receiveFullBytes(
+            { _, body -> if (timer.remove() || body.isEmpty()) onBody(exchange, body) },
+            { _, e -> onBodyError(exchange, timer, e.message.orEmpty()) },
+        )
+    }
+
+    private fun onSlowBody(exchange: HttpServerExchange) {
+        if (exchange.isResponseStarted) return
+        exchange.isPersistent = false
+        refuse(exchange, RefusalReason.MALFORMED_REQUEST, "the body did not arrive within ${limits.bodyTimeoutMs} ms: send it faster")
+    }
+
+    private fun onBodyError(
+        exchange: HttpServerExchange,
+        timer: XnioExecutor.Key,
+        detail: String,
+    ) {
+        timer.remove()
+        if (exchange.isResponseStarted || !exchange.connection.isOpen) return
+        exchange.isPersistent = false
+        val isTooLarge = exchange.requestContentLength == UNKNOWN_LENGTH && detail.contains("large")
+        val reason = if (isTooLarge) RefusalReason.BODY_TOO_LARGE else RefusalReason.MALFORMED_REQUEST
+        refuse(exchange, reason, if (isTooLarge) null else "the body can't be read ($detail): send it again")
+    }
+
+    private fun onBody(
+        exchange: HttpServerExchange,
+        body: ByteArray,
+    ) {
+        if (body.size > limits.maxBodyBytes) return refuse(exchange, RefusalReason.BODY_TOO_LARGE, null)
+        val request = exchange.toHttp4kRequest()
+        if (request == null) {
+            return refuse(exchange, RefusalReason.MALFORMED_REQUEST, "the method is unknown: use one of HTTP")
+        }
+        keyOf(request).fold(
+            { fault -> refuse(exchange, RefusalReason.MALFORMED_REQUEST, fault) },
+            { key ->
+                upstreamRequest(request, key, body).fold(
+                    { fault -> refuse(exchange, RefusalReason.MALFORMED_REQUEST, fault) },
+                    { upstream -> admit(exchange, request, upstream, key?.let(KeyHash::of)) },
+                )
+            },
+        )
+    }
+
+    private fun admit(
+        exchange: HttpServerExchange,
+        request: org.http4k.core.Request,
+        upstream: UpstreamRequest,
+        keyHash: KeyHash?,
+    ) {
+        val id = nextRequestId()
+        val watch = DisconnectWatch(exchange) { onDisconnect(id, exchange) }
+        val waiting =
+            PendingRequest(id, upstream, clock.nowMs()) { response -> exchange.ioThread.execute { send(exchange, watch, response) } }
+        if (!pending.add(waiting)) return refuse(exchange, RefusalReason.QUEUE_FULL, null)
+        exchange.dispatch(NOTHING)
+        watch.start()
+        val event =
+            NodeEvent.RequestArrived(
+                request = id,
+                keyHash = keyHash,
+                method = request.method.name,
+                path = request.uri.path,
+                bodyBytes = upstream.body.size.toLong(),
+                idempotencyKey = request.header(HeaderNames.IDEMPOTENCY_KEY),
+                deadlineMs = request.header(HeaderNames.DEADLINE_MS)?.toLongOrNull()?.takeIf { it > 0 },
+            )
+        if (!requests.offer(event)) {
+            pending.remove(id)
+            waiting.answer(refusalResponse(Outcome.NotRun(RefusalReason.QUEUE_FULL, RETRY_AFTER_MS), id))
+        }
+    }
+
+    private fun onDisconnect(
+        id: RequestId,
+        exchange: HttpServerExchange,
+    ) {
+        if (pending.remove(id) != null) cancellations.offer(NodeEvent.RequestCancelled(id))
+        exchange.isPersistent = false
+        exchange.endExchange()
+    }
+
+    private fun send(
+        exchange: HttpServerExchange,
+        watch: DisconnectWatch,
+        response: Response,
+    ) {
+        watch.stop()
+        if (!exchange.isComplete) exchange.send(response)
+    }
+
+    private fun refuse(
+        exchange: HttpServerExchange,
+        reason: RefusalReason,
+        detail: String?,
+    ) = exchange.send(refusalResponse(Outcome.NotRun(reason, RETRY_AFTER_MS), request = null, detail))
+
+    private companion object {
+        const val UNKNOWN_LENGTH = -1L
+        const val RETRY_AFTER_MS = 1_000L
+        val NOTHING = Runnable { }
+    }
+}
--- /dev/null
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/CallerServer.kt
@@ -0,0 +1,53 @@
+package io.kumquatmill.daemon.caller
+
+import io.kumquatmill.common.fleet.HostAddress
+import io.kumquatmill.settings.RequestLimits
+import io.undertow.Undertow
+import io.undertow.UndertowOptions
+import io.undertow.server.HttpHandler
+import io.undertow.server.handlers.BlockingHandler
+import io.undertow.server.handlers.RequestLimit
+import io.undertow.server.handlers.RequestLimitingHandler
+import org.http4k.server.Http4kUndertowHttpHandler
+import org.xnio.Options
+
+private const val IO_THREADS = 2
+private const val OPERATOR_THREADS = 4
+private const val MAX_OPERATOR_QUEUE = 256
+private const val MAX_HEADERS = 100
+
+/** The HTTP server for callers and operators, bounded in connections, heads, bodies and threads. */
+internal class CallerServer(
+    address: HostAddress,
+    limits: RequestLimits,
+    operatorRoutes: org.http4k.core.HttpHandler,
+    callers: HttpHandler,
+) : AutoCloseable {
+    private val operators =
+        RequestLimitingHandler(
+            RequestLimit(OPERATOR_THREADS, MAX_OPERATOR_QUEUE),
+            BlockingHandler(Http4kUndertowHttpHandler(operatorRoutes)),
+        )
+    private val undertow =
+        Undertow
+            .builder()
+            .addHttpListener(address.port, address.ip)
+            .setIoThreads(IO_THREADS)
+            .setWorkerThreads(OPERATOR_THREADS)
+            .setSocketOption(Options.CONNECTION_HIGH_WATER, limits.maxConnections)
+            .setSocketOption(Options.CONNECTION_LOW_WATER, limits.maxConnections)
+            .setSocketOption(Options.TCP_NODELAY, true)
+            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, maxOf(1, limits.maxBodyBytes))
+            .setServerOption(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeadBytes)
+            .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+            .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, limits.headTimeoutMs.toInt())
+            .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, limits.idleTimeoutMs.toInt())
+            .setServerOption(UndertowOptions.ENABLE_HTTP2, false)
+            .setHandler { exchange ->
+                if (exchange.requestPath in operatorPaths) operators.handleRequest(exchange) else callers.handleRequest(exchange)
+            }.build()
+
+    fun start() = undertow.start()
+
+    override fun close() = undertow.stop()
+}
--- /dev/null
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/Exchanges.kt
@@ -0,0 +1,42 @@
+package io.kumquatmill.daemon.caller
+
+import io.undertow.server.HttpServerExchange
+import io.undertow.util.HttpString
+import org.http4k.core.Headers
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.http4k.core.Response
+import java.nio.ByteBuffer
+
+private val methodsByName = Method.entries.associateBy { it.name }
+
+/** Returns the head of the request, or null when its method is unknown. */
+internal fun HttpServerExchange.toHttp4kRequest(): Request? {
+    val method = methodsByName[requestMethod.toString()] ?: return null
+    val target = if (queryString.isEmpty()) requestURI else "$requestURI?$queryString"
+    return Request(method, pathOnly(target)).headers(headersOf(this))
+}
+
+/** Sends [response] as a whole; runs on the connection's thread. */
+internal fun HttpServerExchange.send(response: Response) {
+    statusCode = response.status.code
+    response.headers.forEach { (name, value) -> responseHeaders.add(HttpString(name), value.orEmpty()) }
+    responseSender.send(
+        response.body.payload
+            .duplicate()
+            .toBytes(),
+    )
+}
+
+private fun pathOnly(target: String): String =
+    if (target.startsWith("/")) {
+        target
+    } else {
+        "/" +
+            target.substringAfter("://").substringAfter('/', "")
+    }
+
+private fun headersOf(exchange: HttpServerExchange): Headers =
+    exchange.requestHeaders.flatMap { values -> values.map { values.headerName.toString() to it } }
+
+private fun ByteBuffer.toBytes(): ByteBuffer = ByteBuffer.wrap(ByteArray(remaining()).also { get(it) })
--- /dev/null
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/OperatorRoutes.kt
@@ -0,0 +1,128 @@
+package io.kumquatmill.daemon.caller
+
+import io.kumquatmill.common.outcome.Outcome
+import io.kumquatmill.common.outcome.RefusalReason
+import io.kumquatmill.common.time.MonotonicClock
+import io.kumquatmill.configuration.model.KeyHash
+import io.kumquatmill.daemon.decision.DecisionLoop
+import io.kumquatmill.node.EntryHost
+import io.kumquatmill.node.EntryNode
+import io.kumquatmill.node.Lifecycle
+import io.kumquatmill.node.LookUpAnswer
+import io.kumquatmill.node.LookUpQuery
+import io.kumquatmill.node.NodeStatus
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.add
+import kotlinx.serialization.json.buildJsonArray
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import org.http4k.core.HttpHandler
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.http4k.routing.bind
+import org.http4k.routing.routes
+import java.util.concurrent.ExecutionException
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
+
+private const val ASK_TIMEOUT_MS = 500L
+private const val HANG_MS = 1_000L
+private const val MS_PER_S = 1_000L
+private const val RETRY_AFTER_MS = 1_000L
+
+/** Paths that the daemon answers itself. */
+internal val operatorPaths = setOf("/v1/entry-hosts", "/v1/status", "/metrics", "/healthz", "/readyz")
+
+/** The daemon's own routes; [metricsText] is null when metrics are off. */
+internal fun operatorRoutes(
+    loop: DecisionLoop,
+    clock: MonotonicClock,
+    metricsText: (() -> String)?,
+): HttpHandler =
+    routes(
+        "/v1/entry-hosts" bind Method.GET to { request -> lookUp(loop, request) },
+        "/v1/status" bind Method.GET to { loop.answer { node, nowMs -> json(statusJson(node.status(nowMs))) } },
+        "/metrics" bind Method.GET to { metricsText?.let { Response(Status.OK).body(it()) } ?: Response(Status.NOT_FOUND) },
+        "/healthz" bind Method.GET to { healthy(clock.nowMs() - loop.lastTickMs < HANG_MS) },
+        "/readyz" bind Method.GET to { loop.answer { node, nowMs -> healthy(node.status(nowMs).lifecycle == Lifecycle.LIVE) } },
+    )
+
+private fun lookUp(
+    loop: DecisionLoop,
+    request: Request,
+): Response =
+    keyOf(request).fold(
+        { fault -> refusalResponse(Outcome.NotRun(RefusalReason.MALFORMED_REQUEST, RETRY_AFTER_MS), null, fault) },
+        { key ->
+            val query = LookUpQuery(key?.let(KeyHash::of), request.source?.address.orEmpty())
+            loop.answer { node, nowMs -> lookUpResponse(node.lookUp(nowMs, query)) }
+        },
+    )
+
+private fun DecisionLoop.answer(question: (EntryNode, Long) -> Response): Response =
+    try {
+        ask(question)?.get(ASK_TIMEOUT_MS, TimeUnit.MILLISECONDS) ?: busy()
+    } catch (_: TimeoutException) {
+        busy()
+    } catch (_: ExecutionException) {
+        busy()
+    }
+
+private fun busy(): Response = refusalResponse(Outcome.NotRun(RefusalReason.QUEUE_FULL, RETRY_AFTER_MS), null)
+
+private fun healthy(isHealthy: Boolean): Response =
+    if (isHealthy) Response(Status.OK).body("ok\n") else Response(Status.SERVICE_UNAVAILABLE).body("not ready\n")
+
+private fun json(content: JsonObject): Response = Response(Status.OK).header("Content-Type", "application/json").body(content.toString())
+
+private fun lookUpResponse(answer: LookUpAnswer): Response =
+    when (answer) {
+        is LookUpAnswer.Refused -> refusalResponse(answer.outcome, null)
+        is LookUpAnswer.Found -> json(foundJson(answer)).header("Cache-Control", "private, max-age=${answer.cacheMs / MS_PER_S}")
+    }
+
+private fun foundJson(found: LookUpAnswer.Found): JsonObject =
+    buildJsonObject {
+        put("hosts", hostsJson(found.hosts))
+        put("alternates", hostsJson(found.alternates))
+        put("cacheMs", found.cacheMs)
+    }
+
+private fun hostsJson(hosts: List<EntryHost>) =
+    buildJsonArray {
+        hosts.forEach { host ->
+            add(
+                buildJsonObject {
+                    put("host", host.host.value)
+                    put("region", host.region.value)
+                    put("address", host.address.toString())
+                },
+            )
+        }
+    }
+
+private fun statusJson(status: NodeStatus): JsonObject =
+    buildJsonObject {
+        put("host", status.host.value)
+        put("incarnation", status.incarnation.value)
+        put("lifecycle", status.lifecycle.wireName)
+        put("configurationRevision", status.configurationRevision)
+        put("rosterEpoch", status.rosterEpoch)
+        put("hasStanding", status.hasStanding)
+        put("inFlightRequests", status.inFlightRequests)
+        put("queuedRequests", status.queuedRequests)
+        putJsonArray("shares") {
+            status.shares.forEach { share ->
+                add(
+                    buildJsonObject {
+                        put("limit", share.limit)
+                        put("units", share.units)
+                        put("totalUnits", share.totalUnits)
+                    },
+                )
+            }
+        }
+    }
--- /dev/null
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/UpstreamRequest.kt
@@ -0,0 +1,87 @@
+package io.kumquatmill.daemon.caller
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.kumquatmill.common.http.HeaderNames
+import org.http4k.core.Headers
+import org.http4k.core.Method
+import org.http4k.core.Request
+import java.net.URLDecoder
+
+private const val OWN_PREFIX = "kumquatmill-"
+private val hopByHopHeaders =
+    setOf(
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+        "host",
+        "content-length",
+    )
+
+/** The part of a caller's request that workers may see; neither the key nor headers of one connection are in it. */
+internal class UpstreamRequest(
+    val method: Method,
+    val pathAndQuery: String,
+    val headers: Headers,
+    val body: ByteArray,
+)
+
+/** Returns what workers may see of [request], or why it can't be forwarded without its [key]. */
+internal fun upstreamRequest(
+    request: Request,
+    key: String?,
+    body: ByteArray,
+): Either<String, UpstreamRequest> {
+    val path = request.uri.path.ifEmpty { "/" }
+    if (key != null &&
+        (key in path || key in decoded(path))
+    ) {
+        return "the path holds the key: send it in the Authorization header only".left()
+    }
+    if (key != null && body.holds(key)) return "the body holds the key: send it in the Authorization header only".left()
+    val query = withoutKey(request.uri.query, key)
+    val pathAndQuery = if (query.isEmpty()) path else "$path?$query"
+    return UpstreamRequest(request.method, pathAndQuery, upstreamHeaders(request.headers, key), body).right()
+}
+
+private fun upstreamHeaders(
+    headers: Headers,
+    key: String?,
+): Headers {
+    val listedByConnection =
+        headers
+            .filter { (name, _) -> name.equals("connection", ignoreCase = true) }
+            .flatMap { (_, value) -> value.orEmpty().split(',').map { it.trim().lowercase() } }
+    return headers.filterNot { (name, value) ->
+        val lowerName = name.lowercase()
+        lowerName in hopByHopHeaders ||
+            lowerName in listedByConnection ||
+            lowerName.startsWith(OWN_PREFIX) ||
+            lowerName == HeaderNames.AUTHORIZATION.lowercase() ||
+            carries(name, key) ||
+            carries(value.orEmpty(), key)
+    }
+}
+
+private fun withoutKey(
+    query: String,
+    key: String?,
+): String = query.split('&').filterNot { it.isEmpty() || carries(it, key) }.joinToString("&")
+
+private fun carries(
+    text: String,
+    key: String?,
+): Boolean = key != null && (key in text || key in decoded(text))
+
+private fun decoded(text: String): String = Either.catch { URLDecoder.decode(text, Charsets.UTF_8) }.getOrNull() ?: text
+
+private fun ByteArray.holds(key: String): Boolean =
+    String(this, Charsets.ISO_8859_1).contains(String(key.toByteArray(), Charsets.ISO_8859_1))
--- a/kumquatmill-wire/src/main/kotlin/io/kumquatmill/wire/Frames.kt
+++ b/kumquatmill-wire/src/main/kotlin/io/kumquatmill/wire/Frames.kt
@@ -1,12 +1,7 @@
 package io.kumquatmill.wire
 
-import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.ByteWriteChannel
-import io.ktor.utils.io.readByteArray
-import io.ktor.utils.io.readInt
-import io.ktor.utils.io.writeFully
-import io.ktor.utils.io.writeInt
 import java.io.IOException
+import java.nio.ByteBuffer
 
 /** Length of the field in front of each frame. */
 internal const val LENGTH_BYTES = 4
@@ -19,14 +14,14 @@
     maxBytes: Int,
 ) : IOException("frame of $lengthBytes bytes, at most $maxBytes are allowed")
 
-internal suspend fun ByteReadChannel.readFrame(maxBytes: Int): ByteArray {
-    val lengthBytes = readInt()
+internal suspend fun PeerSocket.readFrame(maxBytes: Int): ByteArray {
+    val lengthBytes = readFully(LENGTH_BYTES).getInt()
     if (lengthBytes !in 0..maxBytes) throw FrameTooLargeException(lengthBytes, maxBytes)
-    return if (lengthBytes == 0) heartbeatFrame else readByteArray(lengthBytes)
+    return if (lengthBytes == 0) heartbeatFrame else readFully(lengthBytes).array()
 }
 
-internal suspend fun ByteWriteChannel.writeFrame(content: ByteArray) {
-    writeInt(content.size)
-    if (content.isNotEmpty()) writeFully(content)
-    flush()
+internal suspend fun PeerSocket.writeFrame(content: ByteArray) {
+    val frame = ByteBuffer.allocate(LENGTH_BYTES + content.size)
+    frame.putInt(content.size).put(content).flip()
+    writeFully(frame)
 }
--- a/kumquatmill-wire/src/main/kotlin/io/kumquatmill/wire/PeerLink.kt
+++ b/kumquatmill-wire/src/main/kotlin/io/kumquatmill/wire/PeerLink.kt
@@ -1,13 +1,7 @@
 package io.kumquatmill.wire
 
+import arrow.core.Either
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.aSocket
-import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
-import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.ByteWriteChannel
 import io.kumquatmill.common.fleet.HostAddress
 import io.kumquatmill.common.time.MonotonicClock
 import io.kumquatmill.node.message.PeerEnvelope
@@ -22,6 +16,7 @@
 import kotlinx.coroutines.withTimeout
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
+import java.nio.channels.AsynchronousChannelGroup
 
 private val logger = KotlinLogging.logger {}
 
@@ -29,7 +24,7 @@
 internal class PeerLink(
     private val address: HostAddress,
     private val settings: PeerTransportSettings,
-    private val selector: SelectorManager,
+    private val channels: AsynchronousChannelGroup,
     private val clock: MonotonicClock,
     private val backoff: Backoff,
     private val counters: PeerTransportCounters,
@@ -74,10 +69,10 @@
         }
     }
 
-    private suspend fun open(): Socket {
+    private suspend fun open(): PeerSocket {
         val socket =
             try {
-                withTimeout(settings.connectTimeoutMs) { aSocket(selector).tcp().connect(address.ip, address.port) { noDelay = true } }
+                withTimeout(settings.connectTimeoutMs) { PeerSocket.connect(channels, address) }
             } catch (e: TimeoutCancellationException) {
                 throw IOException("no connection within ${settings.connectTimeoutMs} ms", e)
             }
@@ -85,28 +80,23 @@
         return socket
     }
 
-    private suspend fun exchange(socket: Socket) =
+    private suspend fun exchange(socket: PeerSocket) =
         coroutineScope {
             lastHeardMs = clock.nowMs()
-            val input = socket.openReadChannel()
-            val output = socket.openWriteChannel()
-            launch { readHeartbeats(input, socket) }
+            launch { readHeartbeats(socket) }
             launch { closeWhenSilent(socket) }
             try {
-                writeUntilIdle(output)
+                writeUntilIdle(socket)
             } finally {
                 coroutineContext.cancelChildren()
                 socket.close()
             }
         }
 
-    private suspend fun readHeartbeats(
-        input: ByteReadChannel,
-        socket: Socket,
-    ) {
+    private suspend fun readHeartbeats(socket: PeerSocket) {
         try {
             while (true) {
-                counters.bytesReceived.add(input.readFrame(maxBytes = 0).size.toLong() + LENGTH_BYTES)
+                counters.bytesReceived.add(socket.readFrame(maxBytes = 0).size.toLong() + LENGTH_BYTES)
                 lastHeardMs = clock.nowMs()
                 backoff.reset()
             }
@@ -116,38 +106,38 @@
         }
     }
 
-    private suspend fun closeWhenSilent(socket: Socket) {
+    private suspend fun closeWhenSilent(socket: PeerSocket) {
         while (clock.nowMs() - lastHeardMs <= settings.silentMs) delay(settings.heartbeatIntervalMs / 2)
         counters.silent.increment()
         logger.warn { "peer $address was silent for ${settings.silentMs} ms: the connection is closed and opened anew" }
         socket.close()
     }
 
-    private suspend fun writeUntilIdle(output: ByteWriteChannel) {
+    private suspend fun writeUntilIdle(socket: PeerSocket) {
         var heartbeatDueMs = clock.nowMs()
         while (!isIdle) {
             val nowMs = clock.nowMs()
             if (nowMs >= heartbeatDueMs) {
-                write(output, heartbeatFrame)
+                write(socket, heartbeatFrame)
                 heartbeatDueMs = nowMs + settings.heartbeatIntervalMs
             }
             val message = ring.poll(nowMs - settings.maxMessageAgeMs)
-            if (message == null) awaitMessage() else send(output, message.envelope)
+            if (message == null) awaitMessage() else send(socket, message.envelope)
         }
     }
 
     private suspend fun send(
-        output: ByteWriteChannel,
+        socket: PeerSocket,
         envelope: PeerEnvelope,
     ) {
-        val content = PeerCodec.encode(envelope)
+        val content = encode(envelope) ?: return
         if (content.size > settings.maxFrameBytes) {
             counters.dropped.increment()
             logger.error { "message of ${content.size} bytes to ${envelope.to} dropped: at most ${settings.maxFrameBytes} are allowed" }
             return
         }
         try {
-            write(output, content)
+            write(socket, content)
             counters.sent.increment()
         } catch (e: IOException) {
             counters.dropped.increment()
@@ -155,11 +145,19 @@
         }
     }
 
+    private fun encode(envelope: PeerEnvelope): ByteArray? =
+        Either
+            .catch { PeerCodec.encode(envelope) }
+            .onLeft {
+                counters.dropped.increment()
+                logger.error(it) { "message to ${envelope.to} dropped: it can't be encoded" }
+            }.getOrNull()
+
     private suspend fun write(
-        output: ByteWriteChannel,
+        socket: PeerSocket,
         content: ByteArray,
     ) {
-        output.writeFrame(content)
+        socket.writeFrame(content)
         counters.bytesSent.add(content.size.toLong() + LENGTH_BYTES)
     }
 
--- a/kumquatmill-wire/src/main/kotlin/io/kumquatmill/wire/PeerListener.kt
+++ b/kumquatmill-wire/src/main/kotlin/io/kumquatmill/wire/PeerListener.kt
@@ -1,17 +1,13 @@
 package io.kumquatmill.wire
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.ktor.network.sockets.ServerSocket
-import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
-import io.ktor.utils.io.ByteWriteChannel
 import io.kumquatmill.node.message.PeerEnvelope
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
 import java.io.IOException
+import java.nio.channels.AsynchronousServerSocketChannel
 import java.util.concurrent.atomic.AtomicInteger
 
 private val logger = KotlinLogging.logger {}
@@ -26,10 +22,10 @@
 
     suspend fun run(
         scope: CoroutineScope,
-        server: ServerSocket,
+        server: AsynchronousServerSocketChannel,
     ) {
         while (true) {
-            val socket = server.accept()
+            val socket = server.acceptPeer()
             if (openConnections.incrementAndGet() > settings.maxInboundConnections) {
                 openConnections.decrementAndGet()
                 socket.close()
@@ -40,12 +36,9 @@
         }
     }
 
-    private suspend fun serve(socket: Socket) {
+    private suspend fun serve(socket: PeerSocket) {
         try {
             socket.use { readFrames(it) }
-        } catch (e: FrameTooLargeException) {
-            counters.malformed.increment()
-            logger.error { "connection of ${socket.remoteAddress} closed: ${MalformedFrame(e.message.orEmpty()).message}" }
         } catch (e: TimeoutCancellationException) {
             logger.debug { "connection of ${socket.remoteAddress} closed after silence: ${e.message}" }
         } catch (e: IOException) {
@@ -55,31 +48,36 @@
         }
     }
 
-    private suspend fun readFrames(socket: Socket) {
-        val input = socket.openReadChannel()
-        val output = socket.openWriteChannel()
+    private suspend fun readFrames(socket: PeerSocket) {
         var isIntact = true
         while (isIntact) {
-            val content = withTimeout(settings.silentMs) { input.readFrame(settings.maxFrameBytes) }
+            val content = readFrame(socket)
             counters.bytesReceived.add(content.size.toLong() + LENGTH_BYTES)
-            isIntact = if (content.isEmpty()) answerHeartbeat(output) else receive(content, socket)
+            isIntact = if (content.isEmpty()) answerHeartbeat(socket) else receive(content, socket)
         }
     }
 
-    private suspend fun answerHeartbeat(output: ByteWriteChannel): Boolean {
-        withTimeout(settings.silentMs) { output.writeFrame(heartbeatFrame) }
+    private suspend fun readFrame(socket: PeerSocket): ByteArray =
+        try {
+            withTimeout(settings.silentMs) { socket.readFrame(settings.maxFrameBytes) }
+        } catch (e: FrameTooLargeException) {
+            noteMalformed(socket, MalformedFrame(e.message.orEmpty()))
+            throw e
+        }
+
+    private suspend fun answerHeartbeat(socket: PeerSocket): Boolean {
+        withTimeout(settings.silentMs) { socket.writeFrame(heartbeatFrame) }
         counters.bytesSent.add(LENGTH_BYTES.toLong())
         return true
     }
 
     private fun receive(
         content: ByteArray,
-        socket: Socket,
+        socket: PeerSocket,
     ): Boolean =
         PeerCodec.decode(content).fold(
             { fault ->
-                counters.malformed.increment()
-                logger.error { "connection of ${socket.remoteAddress} closed: ${fault.message}" }
+                noteMalformed(socket, fault)
                 false
             },
             { envelope ->
@@ -88,4 +86,12 @@
                 true
             },
         )
+
+    private fun noteMalformed(
+        socket: PeerSocket,
+        fault: MalformedFrame,
+    ) {
+        counters.malformed.increment()
+        logger.error { "connection of ${socket.remoteAddress} closed: ${fault.message}" }
+    }
 }
--- a/kumquatmill-wire/src/main/kotlin/io/kumquatmill/wire/PeerTransport.kt
+++ b/kumquatmill-wire/src/main/kotlin/io/kumquatmill/wire/PeerTransport.kt
@@ -1,20 +1,21 @@
 package io.kumquatmill.wire
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.aSocket
 import io.kumquatmill.common.fleet.HostAddress
 import io.kumquatmill.common.time.MonotonicClock
 import io.kumquatmill.node.message.PeerEnvelope
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.ExecutorCoroutineDispatcher
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.runBlocking
+import java.net.InetSocketAddress
+import java.net.StandardSocketOptions
+import java.nio.channels.AsynchronousChannelGroup
+import java.nio.channels.AsynchronousServerSocketChannel
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ExecutorService
 import java.util.concurrent.Executors
 import kotlin.random.Random
 
@@ -35,23 +36,24 @@
 ) : AutoCloseable {
     val counters = PeerTransportCounters()
 
-    private val selectorThread = singleThread("peer-selector")
-    private val workThread = singleThread("peer-transport")
-    private val selector = SelectorManager(selectorThread)
-    private val faults = CoroutineExceptionHandler { _, e -> logger.error(e) { "a peer connection failed" } }
+    private val workThread = singleThread("peer-transport").asCoroutineDispatcher()
+    private val channels = AsynchronousChannelGroup.withThreadPool(singleThread("peer-io"))
+    private val faults = CoroutineExceptionHandler { _, e -> if (!isClosed) logger.error(e) { "a peer connection failed" } }
     private val scope = CoroutineScope(SupervisorJob() + workThread + faults)
     private val links = ConcurrentHashMap<HostAddress, PeerLink>()
 
+    @Volatile
+    private var isClosed = false
+
     /** Number of messages that wait for their connections. */
     val queuedMessages: Int
         get() = links.values.sumOf { it.depth }
 
     /** Binds the listening socket and starts to receive. */
     fun start() {
-        val server =
-            runBlocking(workThread) {
-                aSocket(selector).tcp().bind(listenAddress.ip, listenAddress.port) { reuseAddress = true }
-            }
+        val server = AsynchronousServerSocketChannel.open(channels)
+        server.setOption(StandardSocketOptions.SO_REUSEADDR, true)
+        server.bind(InetSocketAddress(listenAddress.ip, listenAddress.port))
         scope.launch { server.use { PeerListener(settings, counters, onMessage).run(scope, it) } }
     }
 
@@ -64,15 +66,15 @@
     }
 
     override fun close() {
+        isClosed = true
         scope.cancel()
-        selector.close()
-        selectorThread.close()
+        channels.shutdownNow()
         workThread.close()
     }
 
     private fun startLink(address: HostAddress): PeerLink {
         val backoff = Backoff(settings.reconnectMinMs, settings.reconnectMaxMs, Random(random.nextLong()))
-        val link = PeerLink(address, settings, selector, clock, backoff, counters)
+        val link = PeerLink(address, settings, channels, clock, backoff, counters)
         scope.launch { link.run { forget(address) } }
         return link
     }
@@ -80,6 +82,6 @@
     private fun forget(address: HostAddress): Boolean =
         links.computeIfPresent(address) { _, link -> if (link.isIdle) null else link } == null
 
-    private fun singleThread(name: String): ExecutorCoroutineDispatcher =
-        Executors.newSingleThreadExecutor { task -> Thread(task, name).apply { isDaemon = true } }.asCoroutineDispatcher()
+    private fun singleThread(name: String): ExecutorService =
+        Executors.newSingleThreadExecutor { task -> Thread(task, name).apply { isDaemon = true } }
 }
--- /dev/null
+++ b/kumquatmill-wire/src/test/kotlin/io/kumquatmill/wire/PeerCodecTest.kt
@@ -0,0 +1,28 @@
+package io.kumquatmill.wire
+
+import arrow.core.right
+import io.kumquatmill.common.id.HostId
+import io.kumquatmill.common.id.Incarnation
+import io.kumquatmill.node.message.PeerEnvelope
+import io.kumquatmill.node.message.PeerMessage
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class PeerCodecTest {
+    private val envelope = PeerEnvelope(HostId("h1"), Incarnation(3), HostId("h2"), PeerMessage.Ping(7))
+
+    @Test
+    fun `an encoded envelope decodes to itself`() {
+        assertEquals(envelope.right(), PeerCodec.decode(PeerCodec.encode(envelope)))
+    }
+
+    @Test
+    fun `every cut of an envelope is malformed`() {
+        val bytes = PeerCodec.encode(envelope)
+
+        val accepted = bytes.indices.filter { PeerCodec.decode(bytes.copyOf(it)).isRight() }
+
+        assertTrue(accepted.isEmpty(), "cuts at $accepted were accepted")
+    }
+}
