--- a/kumquatmill-settings/src/main/kotlin/io/kumquatmill/settings/SettingsDefaults.kt
+++ b/kumquatmill-settings/src/main/kotlin/io/kumquatmill/settings/SettingsDefaults.kt
@@ -17,7 +17,7 @@
     const val STOP_TIMEOUT_MS: Long = 30_000
 
     const val MAX_QUEUED_PER_WORKSPACE: Int = 64
-    const val MAX_QUEUE_WAIT_MS: Long = 1_000
+    const val RATE_WAIT_MS: Long = 500
     const val RING_CAPACITY: Int = 4_096
     const val PEER_RING_CAPACITY: Int = 1_024
 
--- a/kumquatmill-settings/src/main/kotlin/io/kumquatmill/settings/section/PlainSections.kt
+++ b/kumquatmill-settings/src/main/kotlin/io/kumquatmill/settings/section/PlainSections.kt
@@ -56,7 +56,7 @@
 internal fun SectionReader.queueSettings(): QueueSettings =
     QueueSettings(
         maxPerWorkspace = int("max-per-workspace", countRange, SettingsDefaults.MAX_QUEUED_PER_WORKSPACE),
-        maxWaitMs = durationMs("max-wait-ms", SettingsDefaults.MAX_QUEUE_WAIT_MS),
+        rateWaitMs = durationMs("rate-wait-ms", SettingsDefaults.RATE_WAIT_MS),
         ringCapacity = int("ring-capacity", countRange, SettingsDefaults.RING_CAPACITY),
         peerRingCapacity = int("peer-ring-capacity", countRange, SettingsDefaults.PEER_RING_CAPACITY),
     )
--- a/kumquatmill-wire/src/test/kotlin/io/kumquatmill/wire/PeerCodecTest.kt
+++ b/kumquatmill-wire/src/test/kotlin/io/kumquatmill/wire/PeerCodecTest.kt
@@ -3,6 +3,7 @@
 import arrow.core.right
 import io.kumquatmill.common.id.HostId
 import io.kumquatmill.common.id.Incarnation
+import io.kumquatmill.membership.message.MembershipMessage
 import io.kumquatmill.node.message.PeerEnvelope
 import io.kumquatmill.node.message.PeerMessage
 import kotlin.test.Test
@@ -10,7 +11,8 @@
 import kotlin.test.assertTrue
 
 class PeerCodecTest {
-    private val envelope = PeerEnvelope(HostId("h1"), Incarnation(3), HostId("h2"), PeerMessage.Ping(7))
+    private val envelope =
+        PeerEnvelope(HostId("h1"), Incarnation(3), HostId("h2"), PeerMessage.Membership(MembershipMessage.RosterNotice(epoch = 7)))
 
     @Test
     fun `an encoded envelope decodes to itself`() {
--- a/kumquatmill-wire/src/test/kotlin/io/kumquatmill/wire/PeerTransportTest.kt
+++ b/kumquatmill-wire/src/test/kotlin/io/kumquatmill/wire/PeerTransportTest.kt
@@ -3,6 +3,7 @@
 import io.kumquatmill.common.fleet.HostAddress
 import io.kumquatmill.common.id.HostId
 import io.kumquatmill.common.id.Incarnation
+import io.kumquatmill.membership.message.MembershipMessage
 import io.kumquatmill.node.message.PeerEnvelope
 import io.kumquatmill.node.message.PeerMessage
 import java.io.DataOutputStream
@@ -33,7 +34,7 @@
 
         (1L..50L).forEach { sender.send(receiverAddress, envelope(it)) }
 
-        assertEquals((1L..50L).toList(), List(50) { nextNonce() })
+        assertEquals((1L..50L).toList(), List(50) { nextEpoch() })
         assertEquals(1, sender.counters.openedConnections)
     }
 
@@ -42,7 +43,7 @@
         val first = startReceiver()
         val sender = startSender()
         sender.send(receiverAddress, envelope(1))
-        assertEquals(1, nextNonce())
+        assertEquals(1, nextEpoch())
 
         first.close()
         startReceiver()
@@ -66,13 +67,13 @@
         val receiver = startReceiver()
         val sender = startSender()
         sender.send(receiverAddress, envelope(1))
-        assertEquals(1, nextNonce())
+        assertEquals(1, nextEpoch())
 
         val isClosed = Socket(receiverAddress.ip, receiverAddress.port).use { it.writeAndAwaitEnd(byteArrayOf(0, 0, 0, 3, 1, 2, 3)) }
         sender.send(receiverAddress, envelope(2))
 
         assertTrue(isClosed, "the connection with the malformed frame is open")
-        assertEquals(2, nextNonce())
+        assertEquals(2, nextEpoch())
         assertEquals(1, receiver.counters.malformedFrames)
         assertEquals(1, sender.counters.openedConnections)
     }
@@ -113,9 +114,13 @@
         return transport
     }
 
-    private fun envelope(nonce: Long) = PeerEnvelope(HostId("h1"), Incarnation(1), HostId("h2"), PeerMessage.Ping(nonce))
+    private fun envelope(epoch: Long) =
+        PeerEnvelope(HostId("h1"), Incarnation(1), HostId("h2"), PeerMessage.Membership(MembershipMessage.RosterNotice(epoch)))
 
-    private fun nextNonce(): Long? = (received.poll(5, TimeUnit.SECONDS)?.message as? PeerMessage.Ping)?.nonce
+    private fun nextEpoch(): Long? =
+        (received.poll(5, TimeUnit.SECONDS)?.message as? PeerMessage.Membership)?.let {
+            (it.message as MembershipMessage.RosterNotice).epoch
+        }
 
     private fun Socket.writeAndAwaitEnd(bytes: ByteArray): Boolean {
         soTimeout = WAIT_MS
