--- a/kumquatmill-wire/src/main/kotlin/io/kumquatmill/wire/PeerLink.kt
+++ b/kumquatmill-wire/src/main/kotlin/io/kumquatmill/wire/PeerLink.kt
@@ -80,37 +80,29 @@
         return socket
     }
 
+    /** Ends as soon as the peer closes the connection or is silent, so that the next message goes over a new one. */
     private suspend fun exchange(socket: PeerSocket) =
         coroutineScope {
             lastHeardMs = clock.nowMs()
             launch { readHeartbeats(socket) }
-            launch { closeWhenSilent(socket) }
-            try {
-                writeUntilIdle(socket)
-            } finally {
-                coroutineContext.cancelChildren()
-                socket.close()
-            }
+            launch { failWhenSilent() }
+            writeUntilIdle(socket)
+            coroutineContext.cancelChildren()
         }
 
     private suspend fun readHeartbeats(socket: PeerSocket) {
-        try {
-            while (true) {
-                counters.bytesReceived.add(socket.readFrame(maxBytes = 0).size.toLong() + LENGTH_BYTES)
-                lastHeardMs = clock.nowMs()
-                backoff.reset()
-            }
-        } catch (e: IOException) {
-            logger.debug { "peer $address closed the connection: ${e.message}" }
-            socket.close()
+        while (true) {
+            counters.bytesReceived.add(socket.readFrame(maxBytes = 0).size.toLong() + LENGTH_BYTES)
+            lastHeardMs = clock.nowMs()
+            backoff.reset()
         }
     }
 
-    private suspend fun closeWhenSilent(socket: PeerSocket) {
+    private suspend fun failWhenSilent() {
         while (clock.nowMs() - lastHeardMs <= settings.silentMs) delay(settings.heartbeatIntervalMs / 2)
         counters.silent.increment()
         logger.warn { "peer $address was silent for ${settings.silentMs} ms: the connection is closed and opened anew" }
-        socket.close()
+        throw IOException("the peer was silent")
     }
 
     private suspend fun writeUntilIdle(socket: PeerSocket) {
