--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LedgerSettings.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LedgerSettings.kt
@@ -14,8 +14,8 @@
     val maxHomes: Int = 12,
     /** Longest time that a request holds a slot. */
     val maxRequestMs: Long = 10_000,
-    /** Time between a decision and its arrival at a worker that may vary; its part of the rate is kept back from the burst. */
-    val jitterGuardMs: Long = 100,
+    /** Most by which the times between a decision and its arrival at a worker differ; its part of the rate is kept back from the burst. */
+    val jitterGuardMs: Long = 40,
     /** Time over which demand is averaged. */
     val demandWindowMs: Long = 1_000,
     /** Time after the last demand at which a host gives back what it borrowed. */
--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/RateMeter.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/RateMeter.kt
@@ -110,15 +110,20 @@
 
     private fun rescale(nowMs: Long) {
         val part = units.toDouble() / spec.totalUnits
-        bucket.rescale(nowMs, spec.ratePerS * part, guardedBurst() * part)
+        bucket.rescale(nowMs, guardedRatePerS() * part, guardedBurst() * part)
     }
 
-    private fun guardedBurst(): Double {
-        val guard = spec.ratePerS * settings.jitterGuardMs / MILLIS_PER_SECOND
-        val guarded = spec.burst - min(guard, spec.burst * MAX_GUARD_PART)
-        return max(guarded, min(spec.burst, 1.0))
+    /** Returns the burst less the tokens that may arrive bunched, but at least one. */
+    private fun guardedBurst(): Double = max(spec.burst - guardTokens(), min(spec.burst, 1.0))
+
+    /** Returns the rate, lowered when the burst is too small to keep the guard back from it. */
+    private fun guardedRatePerS(): Double {
+        val missingTokens = max(guardTokens() - (spec.burst - guardedBurst()), 0.0)
+        return spec.ratePerS / (1.0 + missingTokens)
     }
 
+    private fun guardTokens(): Double = spec.ratePerS * settings.jitterGuardMs / MILLIS_PER_SECOND
+
     private companion object {
         const val MILLIS_PER_SECOND = 1000.0
 
@@ -130,8 +135,5 @@
 
         /** Part of the limit asked for beside the average demand, for its bursts. */
         const val BURST_PART = 0.25
-
-        /** Largest part of the burst that the jitter guard takes. */
-        const val MAX_GUARD_PART = 0.5
     }
 }
--- a/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/script/ScenarioActions.kt
+++ b/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/script/ScenarioActions.kt
@@ -82,11 +82,15 @@
     /** Kills a worker. */
     fun killWorker(worker: String) = world.workers.getValue(WorkerId(worker)).kill()
 
-    /** Kills all workers and entry hosts of a region. */
-    fun killRegion(region: String) {
+    /** Kills all workers of a region. */
+    fun killWorkersOf(region: String) =
         world.workers.values
             .filter { it.worker.region.value == region }
             .forEach { it.kill() }
+
+    /** Kills all workers and entry hosts of a region. */
+    fun killRegion(region: String) {
+        killWorkersOf(region)
         world
             .runningHosts()
             .filter { it.place.region.value == region }
--- a/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/script/ScenarioBuilder.kt
+++ b/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/script/ScenarioBuilder.kt
@@ -55,6 +55,9 @@
         loads += CallerLoad(workspace, region, route, ratePerS, isSteady, bodyBytes)
     }
 
+    /** Removes the loads added so far. */
+    fun clearLoads() = loads.clear()
+
     /** Does [action] at [time] after the load has started. */
     fun at(
         time: Duration,
--- /dev/null
+++ b/kumquatmill-scenario/src/test/kotlin/io/kumquatmill/scenario/proof/HostFailureProofTest.kt
@@ -0,0 +1,72 @@
+package io.kumquatmill.scenario.proof
+
+import kotlin.test.Test
+import kotlin.time.Duration.Companion.seconds
+
+private const val FAILURE_MS = 10_000L
+
+class HostFailureProofTest {
+    @Test
+    fun `a healthy fleet keeps every promise and refuses nothing wrongly`() {
+        prove("healthy") { lasts(40.seconds) }.keepsAllPromises().refusesNothingWrongly()
+    }
+
+    @Test
+    fun `a killed host costs few requests and none after ten seconds`() {
+        prove("kill") {
+            at(10.seconds) { kill("h1") }
+            lasts(40.seconds)
+        }.keepsAllPromises().recoversFromFailureAt(FAILURE_MS)
+    }
+
+    @Test
+    fun `a killed and restarted host starts without tokens and breaks no promise`() {
+        prove("kill and restart") {
+            at(10.seconds) { kill("h1") }
+            at(11.seconds) { start("h1") }
+            at(20.seconds) { kill("h1") }
+            at(21.seconds) { start("h1") }
+            lasts(40.seconds)
+        }.keepsAllPromises()
+    }
+
+    @Test
+    fun `a host that wakes after its standing lapsed spends nothing that others hold now`() {
+        prove("long freeze") {
+            at(10.seconds) { freeze("h1") }
+            at(25.seconds) { thaw("h1") }
+            lasts(45.seconds)
+        }.keepsAllPromises()
+    }
+
+    @Test
+    fun `hosts that freeze for less than their standing break no promise`() {
+        prove("short freezes") {
+            at(10.seconds) { freeze("h1") }
+            at(11.seconds) { freeze("h4") }
+            at(13.seconds) { thaw("h1") }
+            at(14.seconds) { thaw("h4") }
+            at(15.seconds) { freeze("h1") }
+            at(18.seconds) { thaw("h1") }
+            lasts(40.seconds)
+        }.keepsAllPromises()
+    }
+
+    @Test
+    fun `two hosts that die together break no promise`() {
+        prove("two kills") {
+            at(10.seconds) { kill("h1") }
+            at(10.seconds) { kill("h3") }
+            lasts(40.seconds)
+        }.keepsAllPromises().refusesNothingWronglyFrom(2 * FAILURE_MS)
+    }
+
+    @Test
+    fun `messages that are lost, repeated and late break no promise`() {
+        prove("lossy peers") {
+            at(5.seconds) { peers(lossRate = 0.3, duplicationRate = 0.3, extraDelayMs = 60) }
+            at(15.seconds) { kill("h2") }
+            lasts(40.seconds)
+        }.keepsAllPromises()
+    }
+}
--- a/kumquatmill-scenario/src/test/kotlin/io/kumquatmill/scenario/proof/MixedLoad.kt
+++ b/kumquatmill-scenario/src/test/kotlin/io/kumquatmill/scenario/proof/MixedLoad.kt
@@ -16,3 +16,13 @@
     load("carers", region = "stred", route = "status", ratePerS = 5.0)
     load(workspace = null, region = "vychod", route = "opening-hours", ratePerS = 2.0)
 }
+
+/** Load of four workspaces in all regions and on all kinds of routes of the other deployment, each inside its plan. */
+fun ScenarioBuilder.atlasLoad() {
+    load("dealers", region = "casablanca", route = "catalogue", ratePerS = 60.0)
+    load("dealers", region = "fes", route = "booking", ratePerS = 10.0)
+    load("museum", region = "marrakech", route = "catalogue", ratePerS = 40.0)
+    load("collectors", region = "marrakech", route = "deposit", ratePerS = 5.0)
+    load("souk", region = "fes", route = "catalogue", ratePerS = 5.0)
+    load(workspace = null, region = "casablanca", route = "news", ratePerS = 2.0)
+}
--- /dev/null
+++ b/kumquatmill-scenario/src/test/kotlin/io/kumquatmill/scenario/proof/PlannedStopProofTest.kt
@@ -0,0 +1,43 @@
+package io.kumquatmill.scenario.proof
+
+import kotlin.test.Test
+import kotlin.time.Duration.Companion.seconds
+
+class PlannedStopProofTest {
+    @Test
+    fun `a planned stop costs no request`() {
+        prove("planned stop") {
+            at(10.seconds) { stop("h1") }
+            lasts(40.seconds)
+        }.keepsAllPromises().refusesNothingWrongly()
+    }
+
+    @Test
+    fun `without the drain a planned stop cuts requests`() {
+        prove("stop at once", change = { it.copy(request = it.request.copy(drainMs = 0, maxDrainMs = 0)) }) {
+            at(10.seconds) { stop("h1") }
+            lasts(30.seconds)
+        }.breaks("planned-stops")
+    }
+
+    @Test
+    fun `all hosts can be replaced one after the other under load`() {
+        prove("rolling replacement") {
+            (1..7).forEach { index ->
+                at((20 * index).seconds) { stop("h$index") }
+                at((20 * index + 12).seconds) { startIfEnded("h$index") }
+            }
+            lasts(170.seconds)
+        }.keepsAllPromises().refusesNothingWrongly()
+    }
+
+    @Test
+    fun `a planned stop in an outage of the store cuts no request`() {
+        prove("planned stop, store down") {
+            at(8.seconds) { storeDown() }
+            at(10.seconds) { stop("h1") }
+            at(40.seconds) { storeUp() }
+            lasts(60.seconds)
+        }.keepsAllPromises()
+    }
+}
