--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LedgerSettings.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LedgerSettings.kt
@@ -15,7 +15,7 @@
     /** Longest time that a request holds a slot. */
     val maxRequestMs: Long = 10_000,
     /** Most by which the times between a decision and its arrival at a worker differ; its part of the rate is kept back from the burst. */
-    val jitterGuardMs: Long = 40,
+    val jitterGuardMs: Long = 100,
     /** Time over which demand is averaged. */
     val demandWindowMs: Long = 1_000,
     /** Time after the last demand at which a host gives back what it borrowed. */
--- a/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/NodeSettings.kt
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/NodeSettings.kt
@@ -37,7 +37,7 @@
     /** Time after which a caller may come back when nothing better is known. */
     val retryAfterMs: Long = 1_000,
     /** Longest time that a request waits for its workspace's rate. */
-    val rateWaitMs: Long = 500,
+    val rateWaitMs: Long = 1_000,
     /** Time beyond the deadline of an attempt for which its slot stays taken when its end is not known. */
     val slotHoldMarginMs: Long = 500,
     /** Time for which a leaving host takes requests from callers that have not looked up again. */
--- a/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/virtual/NetworkFaults.kt
+++ b/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/virtual/NetworkFaults.kt
@@ -2,7 +2,7 @@
 
 import io.kumquatmill.common.id.RegionId
 
-/** Faults of the network that are in force. */
+/** Faults of the network that are in force; loss, duplication and extra delay concern messages between entry hosts. */
 data class NetworkFaults(
     val lossRate: Double = 0.0,
     val duplicationRate: Double = 0.0,
--- a/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/virtual/VirtualNetwork.kt
+++ b/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/virtual/VirtualNetwork.kt
@@ -18,8 +18,8 @@
         deliver: () -> Unit,
     ) {
         if (random.nextDouble() < faults.lossRate) return
-        deliverAfterDelay(from, to, deliver)
-        if (random.nextDouble() < faults.duplicationRate) deliverAfterDelay(from, to, deliver)
+        deliverAfterDelay(from, to, faults.extraDelayMs, deliver)
+        if (random.nextDouble() < faults.duplicationRate) deliverAfterDelay(from, to, faults.extraDelayMs, deliver)
     }
 
     /** Delivers once over a reliable connection, unless the connection is cut; then [onCut] runs at the sender. */
@@ -32,7 +32,7 @@
         if (faults.isCut(from, to)) {
             time.after(CUT_DETECTION_MS, onCut)
         } else {
-            deliverAfterDelay(from, to, deliver)
+            deliverAfterDelay(from, to, extraDelayMs = 0, deliver)
         }
     }
 
@@ -47,16 +47,17 @@
                 from.availabilityZone != to.availabilityZone -> delays.betweenZonesMs
                 else -> 0
             }
-        return baseMs + random.nextLong(delays.jitterMs + 1) + faults.extraDelayMs
+        return baseMs + random.nextLong(delays.jitterMs + 1)
     }
 
     private fun deliverAfterDelay(
         from: Place,
         to: Place,
+        extraDelayMs: Long,
         deliver: () -> Unit,
     ) {
         if (faults.isCut(from, to)) return
-        time.after(delayMs(from, to)) {
+        time.after(delayMs(from, to) + extraDelayMs) {
             if (!faults.isCut(from, to)) deliver()
         }
     }
--- a/kumquatmill-scenario/src/test/kotlin/io/kumquatmill/scenario/proof/PlannedStopProofTest.kt
+++ b/kumquatmill-scenario/src/test/kotlin/io/kumquatmill/scenario/proof/PlannedStopProofTest.kt
@@ -1,9 +1,16 @@
 package io.kumquatmill.scenario.proof
 
+import io.kumquatmill.node.NodeSettings
 import kotlin.test.Test
 import kotlin.time.Duration.Companion.seconds
 
 class PlannedStopProofTest {
+    private fun withoutDrain(settings: NodeSettings): NodeSettings =
+        settings.copy(
+            request = settings.request.copy(drainMs = 0, maxDrainMs = 0),
+            membership = settings.membership.copy(departTimeoutMs = 0),
+        )
+
     @Test
     fun `a planned stop costs no request`() {
         prove("planned stop") {
@@ -14,7 +21,7 @@
 
     @Test
     fun `without the drain a planned stop cuts requests`() {
-        prove("stop at once", change = { it.copy(request = it.request.copy(drainMs = 0, maxDrainMs = 0)) }) {
+        prove("stop at once", change = ::withoutDrain) {
             at(10.seconds) { stop("h1") }
             lasts(30.seconds)
         }.breaks("planned-stops")
--- a/kumquatmill-scenario/src/test/kotlin/io/kumquatmill/scenario/proof/RegionFailureProofTest.kt
+++ b/kumquatmill-scenario/src/test/kotlin/io/kumquatmill/scenario/proof/RegionFailureProofTest.kt
@@ -53,6 +53,7 @@
     fun `without the ramp a region that dies pours its traffic into the others`() {
         val uncapped = ShiftCap(requestsPerS = UNCAPPED_PER_S, intervalMs = 1_000)
         prove("workers of vychod die, no cap", change = { it.copy(topology = it.topology.copy(shiftCap = uncapped)) }) {
+            at(5.seconds) { rate("clinics", 1.9) }
             at(10.seconds) { killWorkersOf("vychod") }
             lasts(30.seconds)
         }.breaks("shift-cap")
@@ -61,6 +62,7 @@
     @Test
     fun `workers of a region that die move their traffic under the cap`() {
         prove("workers of vychod die") {
+            at(5.seconds) { rate("clinics", 1.9) }
             at(10.seconds) { killWorkersOf("vychod") }
             lasts(40.seconds)
         }.keepsAllPromises()
--- a/kumquatmill-scenario/src/test/kotlin/io/kumquatmill/scenario/proof/UpstreamFailureProofTest.kt
+++ b/kumquatmill-scenario/src/test/kotlin/io/kumquatmill/scenario/proof/UpstreamFailureProofTest.kt
@@ -4,7 +4,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 private const val FAILURE_MS = 10_000L
-private const val LARGE_BODY_BYTES = 400_000L
+private const val LARGE_BODY_BYTES = 1_000_000L
 private const val OVERSTATED_FACTOR = 20
 
 class UpstreamFailureProofTest {
