Renew less often when a host has many lenders

Cause: renewals grew with the pairs of hosts: 9,264 bytes/s a host at 150 hosts and 960 limits, above the 6 KB/s for all control. Ruled out: fewer home hosts (a dead home would then hold a larger part of a limit until the roster changes). Change: above 24 lenders the interval stretches from 1 s to at most 1.7 s, so that two renewals still fit into a loan. Slots of ten workers follow the callers within 2 s (SlotSharingTest).

--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/BorrowerBook.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/BorrowerBook.kt
@@ -108,7 +108,8 @@
 
     /** Renews the loans of all lenders whose turn it is. */
     fun renew(nowMs: Long) {
-        pairs.values.filter { nowMs - it.renewedAtMs >= settings.renewIntervalMs }.forEach { pair ->
+        val intervalMs = renewIntervalMs()
+        pairs.values.filter { nowMs - it.renewedAtMs >= intervalMs }.forEach { pair ->
             val held = heldLoans(nowMs, pair)
             if (held.isEmpty() && pair.askedAtMs <= pair.renewedAtMs) return@forEach
             val digest = LoanDigest()
@@ -132,6 +133,12 @@
         return sends
     }
 
+    private fun renewIntervalMs(): Long {
+        val lenders = pairs.values.count { it.limits.isNotEmpty() }
+        val stretchedMs = settings.renewIntervalMs * lenders / settings.promptLenders
+        return stretchedMs.coerceIn(settings.renewIntervalMs, max(settings.renewIntervalMs, settings.maxRenewIntervalMs))
+    }
+
     private fun requestMessage(
         nowMs: Long,
         host: HostId,
--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LedgerSettings.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LedgerSettings.kt
@@ -8,6 +8,10 @@
     val driftMarginMs: Long = 500,
     /** Interval at which a borrower renews its loans. */
     val renewIntervalMs: Long = 1_000,
+    /** Number of lenders of a host above which it renews less often, to bound its messages. */
+    val promptLenders: Int = 24,
+    /** Longest interval at which a borrower renews its loans; two renewals must fit into the time of a loan. */
+    val maxRenewIntervalMs: Long = 1_700,
     /** Most home hosts of a limit in a region. */
     val homesPerRegion: Int = 4,
     /** Most home hosts of a limit in all regions together. */
--- a/kumquatmill-limits/src/test/kotlin/io/kumquatmill/limits/ledger/LedgerCostMain.kt
+++ b/kumquatmill-limits/src/test/kotlin/io/kumquatmill/limits/ledger/LedgerCostMain.kt
@@ -17,7 +17,19 @@
  */
 fun main() {
     println("hosts limits regions | messages/s  bytes/s (CBOR) a host | us a tick and host | bytes of heap a limit and host")
-    for ((hosts, limits) in listOf(7 to 60, 7 to 240, 7 to 960, 50 to 60, 50 to 240, 50 to 960, 150 to 240, 450 to 240)) {
+    for ((hosts, limits) in listOf(
+        7 to 60,
+        7 to 240,
+        7 to 960,
+        50 to 60,
+        50 to 240,
+        50 to 960,
+        150 to 240,
+        150 to 960,
+        450 to 60,
+        450 to 240,
+        450 to 960,
+    )) {
         LedgerCost(hosts, limits, regions = if (hosts < 50) 3 else hosts / 4).measure()
     }
 }
