Report moves of units and let a host in debt give units back

Ruled out: keeping the debt with the units (it would have to travel in the messages); the debt stays with the host and is paid before its next take. Change: units of a rate can always move; a function is told of each move, for the log. Conclusion: links are shared while answers are charged afterwards."

--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/BorrowerBook.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/BorrowerBook.kt
@@ -11,6 +11,7 @@
     private val settings: LedgerSettings,
     private val states: Map<LimitId, LimitState>,
     private val safeguards: Safeguards,
+    private val onChange: (ShareChange) -> Unit,
 ) {
     private val pairs = sortedMapOf<HostId, LenderPair>()
     private val needs = sortedMapOf<HostId, MutableList<LoanNeed>>()
@@ -204,6 +205,7 @@
         state.settle(nowMs, fleet.standing.validUntilMs)
         val loan = state.borrowed.getOrCreate(from)
         if (terms.version <= loan.version && safeguards.checkVersions) return
+        if (terms.units != loan.units) onChange(ShareChange(ShareChangeKind.BORROWED, state.id, from, terms.units))
         loan.version = terms.version
         loan.units = terms.units
         loan.validUntilMs = validUntilMs
@@ -228,6 +230,7 @@
         loan.units -= given
         state.borrowed.refresh()
         state.resize(nowMs)
+        onChange(ShareChange(ShareChangeKind.RETURNED, state.id, loan.lender, loan.units))
         returns.getOrPut(loan.lender) { mutableListOf() } += ReturnedLoan(state.id, loan.version, loan.units, microTokens(tokens))
     }
 
--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LenderBook.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LenderBook.kt
@@ -9,6 +9,7 @@
     private val fleet: Fleet,
     private val settings: LedgerSettings,
     private val states: Map<LimitId, LimitState>,
+    private val onChange: (ShareChange) -> Unit,
 ) {
     private val pairs = sortedMapOf<HostId, BorrowerPair>()
     private val terms = sortedMapOf<HostId, MutableList<LoanTerms>>()
@@ -62,7 +63,7 @@
         message.returns.mapNotNull { returned ->
             val state = states[returned.limit]
             val loan = state?.lent?.get(from)
-            if (loan != null) takeBack(nowMs, state, loan, returned)
+            if (loan != null) takeBack(nowMs, state, from.host, loan, returned)
             state
         }
 
@@ -160,6 +161,7 @@
         if (loan.recalledTo == target && nowMs - loan.recalledAtMs < settings.renewIntervalMs) return
         loan.recalledTo = target
         loan.recalledAtMs = nowMs
+        onChange(ShareChange(ShareChangeKind.RECALLED, state.id, borrower.host, target))
         recalls.getOrPut(borrower.host) { mutableListOf() } += RecalledLoan(state.id, loan.latest.version, target)
     }
 
@@ -207,12 +209,14 @@
         state.lent.refresh(nowMs)
         state.resize(nowMs)
         pairOf(borrower).limits += state.id
+        if (taken > 0) onChange(ShareChange(ShareChangeKind.LENT, state.id, borrower.host, units))
         terms.getOrPut(borrower.host) { mutableListOf() } += LoanTerms(state.id, promise.version, units, microTokens(tokens))
     }
 
     private fun takeBack(
         nowMs: Long,
         state: LimitState,
+        from: HostId,
         loan: LentLoan,
         returned: ReturnedLoan,
     ) {
@@ -220,7 +224,9 @@
         val freed = loan.reduce(returned.version, returned.keptUnits)
         state.lent.refresh(nowMs)
         state.resize(nowMs)
-        if (freed > 0) state.meter.deposit(nowMs, returned.microTokens / MICRO)
+        if (freed == 0L) return
+        state.meter.deposit(nowMs, returned.microTokens / MICRO)
+        onChange(ShareChange(ShareChangeKind.TAKEN_BACK, state.id, from, loan.latest.units))
     }
 
     private fun liveLoans(
--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/RateMeter.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/RateMeter.kt
@@ -76,7 +76,7 @@
         amount: Long,
     ): Long? = bucket.timeUntilAvailableMs(nowMs, amount.toDouble())
 
-    override fun movableUnits(): Long = if (bucket.level < 0.0) 0 else units
+    override fun movableUnits(): Long = units
 
     override fun withdraw(
         nowMs: Long,
--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/ShareLedger.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/ShareLedger.kt
@@ -18,12 +18,13 @@
     private val settings: LedgerSettings,
     specs: Collection<LimitSpec>,
     nowMs: Long,
+    onChange: (ShareChange) -> Unit,
     private val safeguards: Safeguards,
 ) {
     private val fleet = Fleet(self, settings, safeguards)
     private val states = sortedMapOf<LimitId, LimitState>()
-    private val lender = LenderBook(fleet, settings, states)
-    private val borrower = BorrowerBook(fleet, settings, states, safeguards)
+    private val lender = LenderBook(fleet, settings, states, onChange)
+    private val borrower = BorrowerBook(fleet, settings, states, safeguards, onChange)
     private val dirty = sortedSetOf<LimitId>()
     private val tally = LedgerTally()
     private var reviewedAtMs = nowMs
@@ -32,13 +33,14 @@
     val counters: LedgerCounters
         get() = tally.snapshot()
 
-    /** Creates the ledger of host [self], without standing. */
+    /** Creates the ledger of host [self], without standing; [onChange] is told of each move of units. */
     constructor(
         self: HostId,
         settings: LedgerSettings = LedgerSettings(),
         specs: Collection<LimitSpec> = emptyList(),
         nowMs: Long = 0,
-    ) : this(self, settings, specs, nowMs, Safeguards())
+        onChange: (ShareChange) -> Unit = {},
+    ) : this(self, settings, specs, nowMs, onChange, Safeguards())
 
     init {
         onLimits(nowMs, specs)
--- a/kumquatmill-limits/src/test/kotlin/io/kumquatmill/limits/ledger/FakeFleet.kt
+++ b/kumquatmill-limits/src/test/kotlin/io/kumquatmill/limits/ledger/FakeFleet.kt
@@ -163,7 +163,12 @@
 
     private fun start(member: Member) {
         val host =
-            FakeHost(member, ShareLedger(member.host, settings, specs, nowMs = 0, safeguards), random.nextLong(1_000_000), clockSpeed())
+            FakeHost(
+                member,
+                ShareLedger(member.host, settings, specs, nowMs = 0, onChange = {}, safeguards),
+                random.nextLong(1_000_000),
+                clockSpeed(),
+            )
         processes += host
         every(TICK_MS) { deliver(host, isKept = false) { send(host, host.ledger.onTick(host.localMs(nowMs))) } }
         every(STANDING_REFRESH_MS) { if (!host.isFrozen(nowMs)) refreshStanding(host) }
--- a/kumquatmill-limits/src/test/kotlin/io/kumquatmill/limits/ledger/LoanScenarioTest.kt
+++ b/kumquatmill-limits/src/test/kotlin/io/kumquatmill/limits/ledger/LoanScenarioTest.kt
@@ -154,7 +154,7 @@
     fun `a message meant for an earlier incarnation is ignored`() {
         fun unitsAfterOldReturn(safeguards: Safeguards): Long {
             val reborn = SEVEN.drop(1) + member(1, incarnation = 2)
-            val lender = ShareLedger(host(1), settings, listOf(rate), nowMs = 0, safeguards)
+            val lender = ShareLedger(host(1), settings, listOf(rate), nowMs = 0, onChange = {}, safeguards)
             lender.onStanding(0, settled(reborn).validUntil(60_000))
             val sends = lender.onMessage(1, host(2), Incarnation(1), request(nonce = 1, units = 1_000_000))
             val terms =
@@ -211,6 +211,18 @@
         assertBroken(run(Safeguards(takeSmallerAnchor = false), settleAfterMs = FakeRoster.STANDING_MS + 500))
     }
 
+    @Test
+    fun `a host in debt gives back what another host needs`() {
+        val fleet = fleet()
+        fleet.runUntil(20_000)
+        fleet.hungry(1)
+        fleet.runUntil(22_000)
+        fleet.host(1).run { ledger.charge(localMs(fleet.nowMs), acme, 10_000) }
+        fleet.hungry(2)
+        fleet.runUntil(25_000)
+        assertTrue(fleet.units(fleet.host(2), acme) > 400_000, "units: ${fleet.units(fleet.host(2), acme)}")
+    }
+
     @Test
     fun `a leaving host gives back its loans and lends all of its own`() {
         val fleet = fleet()
