--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/FairShares.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/FairShares.kt
@@ -106,13 +106,13 @@
     val shares = maxMinShares(pool.capacity.toDouble(), demands)
     val whole = shares.map { floor(it).toLong() }
     val left = min(pool.capacity, demands.sum().toLong()) - whole.sum()
-    val lucky =
+    val roundedUp =
         active.indices
             .filter { shares[it] > whole[it] }
             .sortedBy { drawKey(pool, active[it].host, shares[it] - whole[it]) }
             .take(left.toInt())
             .toSet()
-    val targets = active.indices.associate { active[it].host to whole[it] + (if (it in lucky) 1 else 0) }
+    val targets = active.indices.associate { active[it].host to whole[it] + (if (it in roundedUp) 1 else 0) }
     val unused = pool.capacity - targets.values.sum()
     return targets + (pool.lender to (targets[pool.lender] ?: 0) + unused)
 }
--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/Fleet.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/Fleet.kt
@@ -87,11 +87,11 @@
         roster.previousMembers.any { it.host == self && it.incarnation == ownIncarnation }
 
     private fun stepTo(next: Standing): RosterStep {
+        if (isSameRoster(next)) return RosterStep.SAME
         val before = standing.roster
         val after = next.roster
         val nextIncarnation = after?.members?.find { it.host == self }?.incarnation
         return when {
-            isSameRoster(next) -> RosterStep.SAME
             before == null || after == null -> RosterStep.BREAK
             nextIncarnation != ownIncarnation -> RosterStep.BREAK
             after.epoch == before.epoch || after.epoch == before.epoch + 1 -> RosterStep.NEXT
--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LedgerSettings.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LedgerSettings.kt
@@ -25,7 +25,7 @@
     /** Time after the last demand at which a host gives back what it borrowed. */
     val idleReturnMs: Long = 5_000,
     /** Time after which a lender forgets a request that led to no loan and was not repeated. */
-    val wishMs: Long = 5_000,
+    val needRetentionMs: Long = 5_000,
     /** Interval at which a borrower repeats a request that was not met. */
     val repeatIntervalMs: Long = 2_000,
     /** Interval at which a host compares its demand with its units, if nothing was short. */
--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LenderBook.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LenderBook.kt
@@ -28,7 +28,7 @@
     ): List<LimitState> {
         if (!pairOf(from).note(nowMs, request.nonce)) return emptyList()
         val known = request.needs.mapNotNull { need -> states[need.limit]?.let { it to need } }
-        known.forEach { (state, need) -> state.lent.wish(from, Wish(need.units, nowMs)) }
+        known.forEach { (state, need) -> state.lent.recordNeed(from, RecordedNeed(need.units, nowMs)) }
         return known.map { (state, _) -> state }
     }
 
@@ -73,7 +73,7 @@
         state: LimitState,
     ) {
         if (!state.isActive || !fleet.hasStanding(nowMs)) return
-        if (state.lent.isEmpty() && state.lent.wishesByBorrower.isEmpty()) return
+        if (state.lent.isEmpty() && state.lent.needsByBorrower.isEmpty()) return
         val targets = targetsOf(nowMs, state)
         val kept = if (isLeaving) 0 else targets[fleet.self] ?: 0
         if (isAnyShort(nowMs, state, targets)) {
@@ -81,7 +81,7 @@
                 .filterKeys { fleet.isMember(it) }
                 .forEach { (borrower, loan) -> recallExcess(nowMs, state, borrower, loan, targets[borrower.host] ?: 0) }
         }
-        wishingMembers(state)
+        membersInNeed(state)
             .sortedBy { borrower -> state.lent[borrower]?.liveUnits(nowMs) ?: 0 }
             .forEach { borrower -> grantMissing(nowMs, state, borrower, targets[borrower.host] ?: 0, kept) }
     }
@@ -94,7 +94,7 @@
     ): Boolean {
         val ownTarget = if (isLeaving) 0 else targets[fleet.self] ?: 0
         if (ownTarget - state.ownUnits >= stepOf(ownTarget)) return true
-        return wishingMembers(state).any { borrower ->
+        return membersInNeed(state).any { borrower ->
             val target = targets[borrower.host] ?: 0
             target - (state.lent[borrower]?.liveUnits(nowMs) ?: 0) >= stepOf(target)
         }
@@ -129,10 +129,10 @@
     ): Map<HostId, Long> {
         val own = Party(fleet.self, if (isLeaving) 0 else state.meter.neededUnits(nowMs))
         val others =
-            wishingMembers(state).map {
+            membersInNeed(state).map {
                 Party(
                     it.host,
-                    state.lent.wishesByBorrower
+                    state.lent.needsByBorrower
                         .getValue(it)
                         .neededUnits,
                 )
@@ -141,8 +141,8 @@
         return fairTargets(pool, others + own)
     }
 
-    private fun wishingMembers(state: LimitState): List<Borrower> =
-        state.lent.wishesByBorrower.keys
+    private fun membersInNeed(state: LimitState): List<Borrower> =
+        state.lent.needsByBorrower.keys
             .filter { fleet.isMember(it) }
 
     private fun stepOf(target: Long): Long = max(1, target / SMALLEST_STEP_DIVISOR)
@@ -189,7 +189,7 @@
         borrower: Borrower,
         loan: LentLoan,
     ) {
-        if (borrower !in state.lent.wishesByBorrower) return
+        if (borrower !in state.lent.needsByBorrower) return
         val bound = loan.recalledTo.takeIf { state.meter.tailMs == 0L } ?: Long.MAX_VALUE
         grant(nowMs, state, borrower, min(loan.liveUnits(nowMs), bound))
     }
@@ -264,29 +264,3 @@
         const val SMALLEST_STEP_DIVISOR = 8
     }
 }
-
-/** What a lender knows of one borrower. */
-internal class BorrowerPair(
-    val borrower: Borrower,
-) {
-    val limits = sortedSetOf<LimitId>()
-
-    /** Highest nonce that the borrower has sent. */
-    var lastNonce: Long = 0
-        private set
-
-    /** Time at which [lastNonce] came. */
-    var notedAtMs: Long = Long.MIN_VALUE
-        private set
-
-    /** Notes [nonce]; returns false if the message was overtaken or is repeated. */
-    fun note(
-        nowMs: Long,
-        nonce: Long,
-    ): Boolean {
-        if (nonce <= lastNonce) return false
-        lastNonce = nonce
-        notedAtMs = nowMs
-        return true
-    }
-}
--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LentLoans.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LentLoans.kt
@@ -84,7 +84,7 @@
 }
 
 /** The part of a limit that a host asked to have. */
-internal data class Wish(
+internal data class RecordedNeed(
     val neededUnits: Long,
     val receivedAtMs: Long,
 )
@@ -92,7 +92,7 @@
 /** All loans of one limit that a host has given, and what other hosts asked for. */
 internal class LentLoans {
     private val loans = linkedMapOf<Borrower, LentLoan>()
-    private val wishes = linkedMapOf<Borrower, Wish>()
+    private val needs = linkedMapOf<Borrower, RecordedNeed>()
 
     /** Units that borrowers may hold, as of the last refresh. */
     var committedUnits: Long = 0
@@ -101,8 +101,8 @@
     val byBorrower: Map<Borrower, LentLoan>
         get() = loans
 
-    val wishesByBorrower: Map<Borrower, Wish>
-        get() = wishes
+    val needsByBorrower: Map<Borrower, RecordedNeed>
+        get() = needs
 
     fun isEmpty(): Boolean = loans.isEmpty()
 
@@ -115,20 +115,20 @@
         loans[borrower] = loan
     }
 
-    fun wish(
+    fun recordNeed(
         borrower: Borrower,
-        wish: Wish,
+        need: RecordedNeed,
     ) {
-        if (wish.neededUnits == 0L) wishes.remove(borrower) else wishes[borrower] = wish
+        if (need.neededUnits == 0L) needs.remove(borrower) else needs[borrower] = need
     }
 
-    /** Removes loans that are over at [nowMs], and wishes without a loan that were not repeated within [wishMs]. */
+    /** Removes loans that are over at [nowMs], and needs without a loan that were not repeated within [needRetentionMs]. */
     fun expire(
         nowMs: Long,
-        wishMs: Long,
+        needRetentionMs: Long,
     ) {
         refresh(nowMs)
-        wishes.entries.removeIf { (borrower, wish) -> borrower !in loans && nowMs - wish.receivedAtMs > wishMs }
+        needs.entries.removeIf { (borrower, need) -> borrower !in loans && nowMs - need.receivedAtMs > needRetentionMs }
     }
 
     /** Recomputes the committed units and drops loans that bind nothing any more. */
@@ -138,5 +138,5 @@
     }
 
     /** Forgets what other hosts asked for. */
-    fun clearWishes() = wishes.clear()
+    fun clearNeeds() = needs.clear()
 }
--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LimitState.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LimitState.kt
@@ -64,7 +64,7 @@
 
     /** Forgets what it has of its own and borrowed, and all tokens; what is lent stays lent until it is over. */
     fun reset(nowMs: Long) {
-        lent.clearWishes()
+        lent.clearNeeds()
         borrowed.clear()
         anchor.clear()
         meter.drain(nowMs)
@@ -74,7 +74,7 @@
 
     /** Returns whether there is neither demand nor a loan. */
     fun isQuiet(nowMs: Long): Boolean =
-        askedUnits == 0L && borrowed.isEmpty() && lent.isEmpty() && lent.wishesByBorrower.isEmpty() && meter.neededUnits(nowMs) == 0L
+        askedUnits == 0L && borrowed.isEmpty() && lent.isEmpty() && lent.needsByBorrower.isEmpty() && meter.neededUnits(nowMs) == 0L
 
     /** Returns whether a removed limit has nothing left that binds. */
     fun isForgettable(): Boolean = !isActive && lent.isEmpty() && borrowed.isEmpty() && meter.isIdle()
--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/ShareLedger.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/ShareLedger.kt
@@ -38,7 +38,7 @@
         self: HostId,
         settings: LedgerSettings = LedgerSettings(),
         specs: Collection<LimitSpec> = emptyList(),
-        nowMs: Long = 0,
+        nowMs: Long = BEFORE_ANY_CLOCK_MS,
         onChange: (ShareChange) -> Unit = {},
     ) : this(self, settings, specs, nowMs, onChange, Safeguards())
 
@@ -202,7 +202,7 @@
         states.values.forEach { state ->
             state.anchor.mature(nowMs)
             settle(nowMs, state)
-            state.lent.expire(nowMs, settings.wishMs)
+            state.lent.expire(nowMs, settings.needRetentionMs)
             state.resize(nowMs)
             if (!state.isQuiet(nowMs)) dirty += state.id
         }
@@ -271,4 +271,9 @@
         nowMs: Long,
         state: LimitState,
     ) = state.settle(nowMs, fleet.standing.validUntilMs)
+
+    private companion object {
+        /** Time that lies before any reading of a monotonic clock and can be subtracted from it. */
+        const val BEFORE_ANY_CLOCK_MS = Long.MIN_VALUE / 2
+    }
 }
--- a/kumquatmill-limits/src/test/kotlin/io/kumquatmill/limits/ledger/ShareLedgerTest.kt
+++ b/kumquatmill-limits/src/test/kotlin/io/kumquatmill/limits/ledger/ShareLedgerTest.kt
@@ -31,6 +31,13 @@
         assertEquals(10, ledger.takeAll(60_000, acme), "tokens of a full bucket")
     }
 
+    @Test
+    fun `a clock that reads negative times works`() {
+        val ledger = ledger()
+        ledger.onStanding(-100_000, settled(SEVEN).validUntil(0))
+        assertEquals(10, ledger.takeAll(-40_000, acme), "tokens of a full bucket")
+    }
+
     @Test
     fun `nothing may be taken after standing has lapsed, and the time without it brings no tokens`() {
         val ledger = ledger()
