--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LedgerSettings.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LedgerSettings.kt
@@ -8,6 +8,10 @@
     val driftMarginMs: Long = 500,
     /** Interval at which a borrower renews its loans. */
     val renewIntervalMs: Long = 1_000,
+    /** Number of lenders of a host above which it renews less often, to bound its messages. */
+    val promptLenders: Int = 24,
+    /** Longest interval at which a borrower renews its loans; two renewals must fit into the time of a loan. */
+    val maxRenewIntervalMs: Long = 1_700,
     /** Most home hosts of a limit in a region. */
     val homesPerRegion: Int = 4,
     /** Most home hosts of a limit in all regions together. */
@@ -21,7 +25,7 @@
     /** Time after the last demand at which a host gives back what it borrowed. */
     val idleReturnMs: Long = 5_000,
     /** Time after which a lender forgets a request that led to no loan and was not repeated. */
-    val wishMs: Long = 5_000,
+    val needRetentionMs: Long = 5_000,
     /** Interval at which a borrower repeats a request that was not met. */
     val repeatIntervalMs: Long = 2_000,
     /** Interval at which a host compares its demand with its units, if nothing was short. */
