Serve by standing only with the lists that peers have

Standing now gives word of the configuration only when the lists in force are as new as any that a peer has mentioned.

--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/MembershipAgent.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/MembershipAgent.kt
@@ -59,6 +59,7 @@
     private val freshness = ConfigurationFreshness()
     private val hosts = KnownHosts(settings, watcher, hostList)
     private var incarnation = NOT_JOINED
+    private var highestPeerRevision = 0L
     private var nextPullMs = Long.MIN_VALUE
     private var isLeaving = false
     private var drainedMs: Long? = null
@@ -99,7 +100,7 @@
             configurationRevision() == 0L -> false
             settings.isolationPolicy == IsolationPolicy.SERVE -> true
             hasFreshWord(nowMs) -> true
-            else -> isStoreRegionGone(nowMs) && standing(nowMs).isValid(nowMs)
+            else -> isStoreRegionGone(nowMs) && hasListsOfPeers() && standing(nowMs).isValid(nowMs)
         }
 
     /** Returns all entry hosts that are known, for steering. */
@@ -276,7 +277,7 @@
         out: OutputBuilder,
     ) {
         memory.hear(request.epoch)
-        out.peerRevision(from, request.configurationRevision)
+        notePeerRevision(from, request.configurationRevision, out)
         confirmInStoreRegion(nowMs)
         val isVouched = incarnation != NOT_JOINED && memory.vouchesFor(request.epoch)
         val reply =
@@ -304,7 +305,7 @@
         reply.vouchedEpoch?.let { tracker.onVouched(from, fromIncarnation, it, sentAtMs) }
         tracker.onRelayedVotes(reply.roster.epoch, sentAtMs, reply.voteAgesMs)
         reply.storeWord?.let { freshness.onWord(sentAtMs, it, configurationRevision()) }
-        out.peerRevision(from, reply.configurationRevision)
+        notePeerRevision(from, reply.configurationRevision, out)
         if (reply.roster > holder.version && isStoreSilent(nowMs)) pull(nowMs, from, out)
     }
 
@@ -342,11 +343,27 @@
         return nowMs - wordMs < settings.freshnessMs
     }
 
-    /** Members next to the store learn of every edit, so their standing is word of the configuration. */
+    private fun notePeerRevision(
+        from: HostId,
+        revision: Long,
+        out: OutputBuilder,
+    ) {
+        highestPeerRevision = maxOf(highestPeerRevision, revision)
+        out.peerRevision(from, revision)
+    }
+
+    /**
+     * Members next to the store learn of every edit, so their standing is word of the configuration.
+     *
+     * One that was frozen or cut off first has to take what its peers have.
+     */
     private fun confirmInStoreRegion(nowMs: Long) {
-        if (description.region == settings.storeRegion && standing(nowMs).isValid(nowMs)) freshness.confirm(nowMs)
+        val isNextToStore = description.region == settings.storeRegion && standing(nowMs).isValid(nowMs)
+        if (isNextToStore && hasListsOfPeers()) freshness.confirm(nowMs)
     }
 
+    private fun hasListsOfPeers(): Boolean = configurationRevision() >= highestPeerRevision
+
     private fun isStoreRegionGone(nowMs: Long): Boolean {
         val members = holder.members.filter { it.region == settings.storeRegion }
         return members.isNotEmpty() && members.all { hostList.isGone(nowMs, it.host) }
--- a/kumquatmill-membership/src/test/kotlin/io/kumquatmill/membership/RandomScheduleTest.kt
+++ b/kumquatmill-membership/src/test/kotlin/io/kumquatmill/membership/RandomScheduleTest.kt
@@ -2,6 +2,7 @@
 
 import io.kumquatmill.membership.fake.FakeFleet
 import io.kumquatmill.membership.fake.FakeHost
+import io.kumquatmill.membership.fake.FleetOptions
 import io.kumquatmill.membership.fake.assertConverged
 import io.kumquatmill.membership.fake.stred
 import io.kumquatmill.membership.fake.vychod
@@ -14,7 +15,7 @@
     @Test
     fun `no schedule of faults breaks an invariant and the fleet recovers from each`() {
         repeat(SEEDS) { seed ->
-            val fleet = FakeFleet(seed).start()
+            val fleet = FakeFleet(seed, options = FleetOptions(clockDrift = 0.04)).start()
             val schedule = RandomSchedule(fleet, Random(seed))
             repeat(FAULTS) {
                 schedule.next()
@@ -29,7 +30,7 @@
     }
 
     private companion object {
-        const val SEEDS = 200
+        const val SEEDS = 250
         const val FAULTS = 12
         const val RECOVERY_MS = 45_000L
     }
@@ -46,7 +47,7 @@
 
     fun next() {
         val host = fleet.hosts.random(random)
-        val fault = random.nextInt(11)
+        val fault = random.nextInt(12)
         steps += "${fleet.nowMs}: $fault ${host.id}"
         when (fault) {
             0 -> host.kill()
@@ -57,7 +58,8 @@
             6 -> toggle(fleet.faults.hostsWithoutStore, host.id)
             7 -> fleet.faults.lostMessages = random.nextDouble(0.5)
             8 -> fleet.faults.lostStoreAnswers = random.nextDouble(0.5)
-            9 -> fleet.faults.storeDelayMs = random.nextLong(2_000)
+            9 -> fleet.faults.storeDelayMs = random.nextLong(5_000)
+            10 -> fleet.faults.repeatedMessages = random.nextDouble(0.5)
             else -> fleet.acceptLists()
         }
     }
--- a/kumquatmill-membership/src/test/kotlin/io/kumquatmill/membership/StoreOutageTest.kt
+++ b/kumquatmill-membership/src/test/kotlin/io/kumquatmill/membership/StoreOutageTest.kt
@@ -67,4 +67,23 @@
         fleet.assertConverged()
         fleet.assertNoViolations()
     }
+
+    @Test
+    fun `a host next to the store that wakes in an outage serves keyed routes only by the lists of its peers`() {
+        val waking = fleet.hosts.first()
+        waking.freeze()
+        fleet.run(1_500)
+        fleet.acceptLists()
+        val accepted = fleet.store.revision
+        fleet.run(1_500)
+        fleet.faults.isStoreDown = true
+        fleet.run(6_000)
+        waking.wake()
+        repeat(300) {
+            fleet.run(10)
+            val revision = waking.configuration.register.revision
+            assertTrue(!waking.isFresh || revision == accepted, "after ${it * 10} ms it serves by $revision, expected $accepted")
+        }
+        assertTrue(waking.isFresh, "it serves again")
+    }
 }
--- a/kumquatmill-membership/src/test/kotlin/io/kumquatmill/membership/fake/FakeFleet.kt
+++ b/kumquatmill-membership/src/test/kotlin/io/kumquatmill/membership/fake/FakeFleet.kt
@@ -138,6 +138,7 @@
         val target = hostsById[to] ?: return
         if (faults.isCut(from.region, target.region) || random.nextDouble() < faults.lostMessages) return
         schedule(latencyMs(from.region, target.region)) { deliver(target) }
+        if (random.nextDouble() < faults.repeatedMessages) schedule(random.nextLong(MAX_REPEAT_DELAY_MS)) { deliver(target) }
     }
 
     private fun latencyMs(
@@ -157,6 +158,7 @@
     }
 
     private companion object {
+        const val MAX_REPEAT_DELAY_MS = 8_000L
         const val STORE_TICK_MS = 50L
         const val HOST_LIST_INTERVAL_MS = 1_000L
         const val OTHER_REGION_MS = 17L
--- a/kumquatmill-membership/src/test/kotlin/io/kumquatmill/membership/fake/FleetFaults.kt
+++ b/kumquatmill-membership/src/test/kotlin/io/kumquatmill/membership/fake/FleetFaults.kt
@@ -11,6 +11,9 @@
     var lostStoreAnswers = 0.0
     var lostMessages = 0.0
 
+    /** Part of the messages that arrive twice, the second time some seconds late. */
+    var repeatedMessages = 0.0
+
     /** Decides for each message of membership whether it passes. */
     var passes: (HostId, HostId, MembershipMessage) -> Boolean = { _, _, _ -> true }
 
@@ -25,6 +28,7 @@
         storeDelayMs = 0
         lostStoreAnswers = 0.0
         lostMessages = 0.0
+        repeatedMessages = 0.0
         cutRegions.clear()
         hostsWithoutStore.clear()
         passes = { _, _, _ -> true }
