--- a/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/queue/FairQueueTest.kt
+++ b/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/queue/FairQueueTest.kt
@@ -36,6 +36,15 @@
         assertIs<QueueOffer.Queued>(queue.offer(1_000, request("early", "small", deadlineAtMs = 60_000)))
     }
 
+    @Test
+    fun `a wait for a rate does not count as a wait for slots`() {
+        queue.offer(0, request("limited", "large"))
+        for (nowMs in 0L..4_000L step 1_000) {
+            queue.dispatch(nowMs) { if (it.workspace.value == "large") DispatchStep.PASS_OVER_WORKSPACE else DispatchStep.DISPATCHED }
+        }
+        assertIs<QueueOffer.Queued>(queue.offer(4_000, request("quick", "small", deadlineAtMs = 4_100)))
+    }
+
     @Test
     fun `a waiting request is given up as soon as it can't meet its deadline`() {
         queue.offer(0, request("patient", "small", deadlineAtMs = 50_000))
@@ -45,7 +54,7 @@
         assertEquals("urgent" to RefusalReason.DEADLINE_EXCEEDED, refusal.request.id.value to refusal.outcome.reason)
         assertEquals(emptyList(), queue.expire(49_990))
         assertEquals(listOf("patient"), queue.expire(50_001).map { it.request.id.value })
-        assertEquals(0, queue.workspaceCount)
+        assertEquals(0, queue.size)
     }
 
     @Test
@@ -79,6 +88,15 @@
         assertIs<QueueOffer.Queued>(queue.offer(0, request("other", "small")))
     }
 
+    @Test
+    fun `workspaces that no longer wait are forgotten`() {
+        for (number in 1..10_000) {
+            queue.offer(number.toLong(), request("r-$number", "workspace-$number", deadlineAtMs = number + 5_000L))
+            queue.dispatch(number.toLong()) { DispatchStep.DISPATCHED }
+        }
+        assertTrue(queue.workspaceCount <= 10, "workspaces in memory: ${queue.workspaceCount}, expected a few")
+    }
+
     private fun take(count: Int): List<QueuedRequest> {
         val served = ArrayList<QueuedRequest>()
         queue.dispatch(0) { if (served.size < count) dispatched { served.add(it) } else DispatchStep.NO_SLOTS }
--- a/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/script/ScenarioBuilder.kt
+++ b/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/script/ScenarioBuilder.kt
@@ -68,6 +68,9 @@
         length = time
     }
 
+    /** Returns the workspaces of the loads so far. */
+    internal fun workspaces(): List<String> = loads.mapNotNull { it.workspace }.distinct()
+
     internal fun toScenario(): Scenario =
         Scenario(
             name = name,
@@ -80,7 +83,7 @@
         )
 
     private companion object {
-        val DEFAULT_WARM_UP = 10.seconds
+        val DEFAULT_WARM_UP = 20.seconds
         val DEFAULT_LENGTH = 30.seconds
         const val DEFAULT_BODY_BYTES = 1_000L
     }
--- /dev/null
+++ b/kumquatmill-wire/src/main/kotlin/io/kumquatmill/wire/PeerTransport.kt
@@ -0,0 +1,87 @@
+package io.kumquatmill.wire
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.kumquatmill.common.fleet.HostAddress
+import io.kumquatmill.common.time.MonotonicClock
+import io.kumquatmill.node.message.PeerEnvelope
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import java.net.InetSocketAddress
+import java.net.StandardSocketOptions
+import java.nio.channels.AsynchronousChannelGroup
+import java.nio.channels.AsynchronousServerSocketChannel
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ExecutorService
+import java.util.concurrent.Executors
+import kotlin.random.Random
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * Carries messages between entry hosts: CBOR in frames with a length in front, over TCP.
+ *
+ * Each direction of a pair of hosts has a connection of its own. [send] never waits: a message may be lost, and the oldest is
+ * when a peer's ring is full. [onMessage] is called on the transport's thread and must not block.
+ */
+class PeerTransport(
+    private val listenAddress: HostAddress,
+    private val settings: PeerTransportSettings = PeerTransportSettings(),
+    private val clock: MonotonicClock = MonotonicClock.system,
+    private val random: Random = Random.Default,
+    private val onMessage: (PeerEnvelope) -> Unit,
+) : AutoCloseable {
+    val counters = PeerTransportCounters()
+
+    private val workThread = singleThread("peer-transport").asCoroutineDispatcher()
+    private val channels = AsynchronousChannelGroup.withThreadPool(singleThread("peer-io"))
+    private val faults = CoroutineExceptionHandler { _, e -> if (!isClosed) logger.error(e) { "a peer connection failed" } }
+    private val scope = CoroutineScope(SupervisorJob() + workThread + faults)
+    private val links = ConcurrentHashMap<HostAddress, PeerLink>()
+
+    @Volatile
+    private var isClosed = false
+
+    /** Number of messages that wait for their connections. */
+    val queuedMessages: Int
+        get() = links.values.sumOf { it.depth }
+
+    /** Binds the listening socket and starts to receive. */
+    fun start() {
+        val server = AsynchronousServerSocketChannel.open(channels)
+        server.setOption(StandardSocketOptions.SO_REUSEADDR, true)
+        server.bind(InetSocketAddress(listenAddress.ip, listenAddress.port))
+        scope.launch { server.use { PeerListener(settings, counters, onMessage).run(scope, it) } }
+    }
+
+    /** Queues [envelope] for the peer at [address]. */
+    fun send(
+        address: HostAddress,
+        envelope: PeerEnvelope,
+    ) {
+        links.compute(address) { _, link -> (link ?: startLink(address)).apply { offer(envelope) } }
+    }
+
+    override fun close() {
+        isClosed = true
+        scope.cancel()
+        channels.shutdownNow()
+        workThread.close()
+    }
+
+    private fun startLink(address: HostAddress): PeerLink {
+        val backoff = Backoff(settings.reconnectMinMs, settings.reconnectMaxMs, Random(random.nextLong()))
+        val link = PeerLink(address, settings, channels, clock, backoff, counters)
+        scope.launch { link.run { forget(address) } }
+        return link
+    }
+
+    private fun forget(address: HostAddress): Boolean =
+        links.computeIfPresent(address) { _, link -> if (link.isIdle) null else link } == null
+
+    private fun singleThread(name: String): ExecutorService =
+        Executors.newSingleThreadExecutor { task -> Thread(task, name).apply { isDaemon = true } }
+}
