--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/MembershipAgent.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/MembershipAgent.kt
@@ -56,10 +56,16 @@
     private val leases = LeaseKeeper(description.host, settings, watcher, random, ::fleetSize)
     private val coordinator = RosterCoordinator(description.host, settings, watcher, holder, hostList, tracker)
     private val inquiry = PeerInquiry(description, settings, holder, random)
-    private val freshness = ConfigurationFreshness()
+    private val freshness =
+        ConfigurationFreshness(
+            settings = settings,
+            isInStoreRegion = description.region == settings.storeRegion,
+            revisionInForce = configurationRevision,
+            hasStanding = { nowMs -> standing(nowMs).isValid(nowMs) },
+            isStoreRegionGone = ::isStoreRegionGone,
+        )
     private val hosts = KnownHosts(settings, watcher, hostList)
     private var incarnation = NOT_JOINED
-    private var highestPeerRevision = 0L
     private var nextPullMs = Long.MIN_VALUE
     private var isLeaving = false
     private var drainedMs: Long? = null
@@ -95,13 +101,7 @@
     }
 
     /** Returns whether routes that need a key may be served: no withdrawal can have been missed for longer than the bound. */
-    fun configurationIsFresh(nowMs: Long): Boolean =
-        when {
-            configurationRevision() == 0L -> false
-            settings.isolationPolicy == IsolationPolicy.SERVE -> true
-            hasFreshWord(nowMs) -> true
-            else -> isStoreRegionGone(nowMs) && hasListsOfPeers() && standing(nowMs).isValid(nowMs)
-        }
+    fun configurationIsFresh(nowMs: Long): Boolean = freshness.isFresh(nowMs)
 
     /** Returns all entry hosts that are known, for steering. */
     fun knownHosts(nowMs: Long): List<KnownHost> = hosts.list(nowMs, holder.members)
@@ -220,7 +220,7 @@
         noteUndecoded(changes, out)
         watcher.view.roster?.let { takeRoster(it, out) }
         watcher.view.roster?.let { tracker.onStoreEvidence(it.value.epoch, sentAtMs) }
-        freshness.confirm(sentAtMs)
+        freshness.onStoreAnswer(sentAtMs)
         if (incarnation == NOT_JOINED) continueAsNewIncarnation(out)
     }
 
@@ -278,7 +278,6 @@
     ) {
         memory.hear(request.epoch)
         notePeerRevision(from, request.configurationRevision, out)
-        confirmInStoreRegion(nowMs)
         val isVouched = incarnation != NOT_JOINED && memory.vouchesFor(request.epoch)
         val reply =
             StandingReply(
@@ -287,7 +286,7 @@
                 highestEpoch = memory.highestEpoch,
                 roster = holder.version,
                 configurationRevision = configurationRevision(),
-                storeWord = freshness.wordToPass(nowMs, settings.freshnessMs, configurationRevision()),
+                storeWord = freshness.wordToPass(nowMs),
                 voteAgesMs = tracker.voteAgesToRelay(nowMs, request.epoch, settings.standingMs),
             )
         out.send(from, reply)
@@ -304,7 +303,7 @@
         memory.hear(reply.highestEpoch)
         reply.vouchedEpoch?.let { tracker.onVouched(from, fromIncarnation, it, sentAtMs) }
         tracker.onRelayedVotes(reply.roster.epoch, sentAtMs, reply.voteAgesMs)
-        reply.storeWord?.let { freshness.onWord(sentAtMs, it, configurationRevision()) }
+        reply.storeWord?.let { freshness.onWord(sentAtMs, it) }
         notePeerRevision(from, reply.configurationRevision, out)
         if (reply.roster > holder.version && isStoreSilent(nowMs)) pull(nowMs, from, out)
     }
@@ -337,33 +336,15 @@
         if (stored.value.version > pull.have) out.send(from, RosterPush(stored.value, stored.revision))
     }
 
-    private fun hasFreshWord(nowMs: Long): Boolean {
-        confirmInStoreRegion(nowMs)
-        val wordMs = freshness.wordMs ?: return false
-        return nowMs - wordMs < settings.freshnessMs
-    }
-
     private fun notePeerRevision(
         from: HostId,
         revision: Long,
         out: OutputBuilder,
     ) {
-        highestPeerRevision = maxOf(highestPeerRevision, revision)
+        freshness.onPeerRevision(revision)
         out.peerRevision(from, revision)
     }
 
-    /**
-     * Members next to the store learn of every edit, so their standing is word of the configuration.
-     *
-     * One that was frozen or cut off first has to take what its peers have.
-     */
-    private fun confirmInStoreRegion(nowMs: Long) {
-        val isNextToStore = description.region == settings.storeRegion && standing(nowMs).isValid(nowMs)
-        if (isNextToStore && hasListsOfPeers()) freshness.confirm(nowMs)
-    }
-
-    private fun hasListsOfPeers(): Boolean = configurationRevision() >= highestPeerRevision
-
     private fun isStoreRegionGone(nowMs: Long): Boolean {
         val members = holder.members.filter { it.region == settings.storeRegion }
         return members.isNotEmpty() && members.all { hostList.isGone(nowMs, it.host) }
--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/fleet/KnownHosts.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/fleet/KnownHosts.kt
@@ -13,9 +13,24 @@
     private val watcher: StoreWatcher,
     private val hostList: HostListView,
 ) {
+    private var cached: List<KnownHost> = emptyList()
+    private var cachedUntilMs = Long.MIN_VALUE
+
+    /** Returns all hosts by name, no older than [CACHE_MS]. */
     fun list(
         nowMs: Long,
         members: List<Member>,
+    ): List<KnownHost> {
+        if (nowMs >= cachedUntilMs) {
+            cached = compute(nowMs, members)
+            cachedUntilMs = nowMs + CACHE_MS
+        }
+        return cached
+    }
+
+    private fun compute(
+        nowMs: Long,
+        members: List<Member>,
     ): List<KnownHost> {
         val records = watcher.view.records.mapValues { it.value.value }
         val byHost = members.associateBy { it.host } + records.mapValues { it.value.member }
@@ -48,4 +63,8 @@
         val returnedMs = watcher.returnedMs ?: return false
         return watcher.isUp && nowMs - returnedMs >= settings.returnGraceMs(watcher.view.records.size)
     }
+
+    private companion object {
+        const val CACHE_MS = 200L
+    }
 }
--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/roster/RosterCoordinator.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/roster/RosterCoordinator.kt
@@ -36,11 +36,11 @@
     private val tracker: StandingTracker,
 ) {
     private val view = watcher.view
+    private val eviction = EvictionRule(settings, watcher, holder, hostList)
     private val rank = ProposerRank(self, view, holder)
     private var differenceSinceMs: Long? = null
     private var turnSinceMs: Long? = null
     private var callOpenUntilMs = Long.MIN_VALUE
-    private var unreachedMs: Long? = null
     private var nextCheckMs = Long.MIN_VALUE
     private var quietRevision = -1L
     private var quietEpoch = -1L
@@ -129,7 +129,7 @@
         settlement = null
         if (nowMs < nextCheckMs || isQuiet(document)) return
         nextCheckMs = nowMs + CHECK_INTERVAL_MS
-        val lapsed = plannedMembers(document.members, view.records) { isLapsed(nowMs, it) }
+        val lapsed = plannedMembers(document.members, view.records) { eviction.isLapsed(nowMs, it) }
         if (lapsed == document.members && !isRosterMissing()) {
             forgetDifference()
             noteQuiet(document)
@@ -157,7 +157,7 @@
         document: RosterDocument,
         out: OutputBuilder,
     ) {
-        val planned = plannedMembers(document.members, view.records) { isEvictable(nowMs, it) }
+        val planned = plannedMembers(document.members, view.records) { eviction.isEvictable(nowMs, it) }
         val isDue = planned.isNotEmpty() && (planned != document.members || isRosterMissing())
         if (!isDue) return
         forgetDifference()
@@ -167,7 +167,7 @@
     /** Hosts that were cut off need time to renew their records before they may be evicted. */
     private fun noteUnreached(nowMs: Long) {
         val sinceMs = turnSinceMs ?: return
-        if (nowMs - sinceMs >= settings.witnessTimeoutMs) unreachedMs = nowMs
+        if (nowMs - sinceMs >= settings.witnessTimeoutMs) eviction.onWitnessesUnreached(nowMs)
     }
 
     private fun finish(
@@ -234,24 +234,6 @@
         return count >= majorityOf(document.witnesses.size)
     }
 
-    private fun isLapsed(
-        nowMs: Long,
-        host: HostId,
-    ): Boolean {
-        val absentSinceMs = view.recordAbsentSinceMs(host) ?: watcher.returnedMs ?: return false
-        return nowMs - absentSinceMs >= settings.evictionDelayMs
-    }
-
-    private fun isEvictable(
-        nowMs: Long,
-        host: HostId,
-    ): Boolean {
-        val returnedMs = watcher.returnedMs ?: return false
-        val graceFromMs = maxOf(returnedMs, unreachedMs ?: returnedMs)
-        val isGraceOver = nowMs - graceFromMs >= settings.returnGraceMs(holder.members.size)
-        return isLapsed(nowMs, host) && (isGraceOver || hostList.isGone(nowMs, host))
-    }
-
     private fun isRosterMissing(): Boolean {
         val stored = holder.stored ?: return false
         return view.rosterRevision == StoreCall.NO_REVISION && view.revision >= stored.revision
