Leave a starting host time to reach the store before it asks peers for the roster

450 hosts that started within 7 s each asked a seed for the roster of 27 KB: the busiest host sent and received 59 KB/s.

--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/MembershipAgent.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/MembershipAgent.kt
@@ -23,6 +23,7 @@
 import io.kumquatmill.membership.record.RosterDocument
 import io.kumquatmill.membership.record.Witness
 import io.kumquatmill.membership.roster.RosterCoordinator
+import io.kumquatmill.membership.roster.RosterExchange
 import io.kumquatmill.membership.roster.RosterHolder
 import io.kumquatmill.membership.standing.PeerInquiry
 import io.kumquatmill.membership.standing.StandingTracker
@@ -55,6 +56,7 @@
     private val watcher = StoreWatcher(settings, random, ::fleetSize)
     private val leases = LeaseKeeper(description.host, settings, watcher, random, ::fleetSize)
     private val coordinator = RosterCoordinator(description.host, settings, watcher, holder, hostList, tracker)
+    private val exchange = RosterExchange(settings, holder, memory)
     private val inquiry = PeerInquiry(description, settings, holder, random)
     private val freshness =
         ConfigurationFreshness(
@@ -66,7 +68,7 @@
         )
     private val hosts = KnownHosts(settings, watcher, hostList)
     private var incarnation = NOT_JOINED
-    private var nextPullMs = Long.MIN_VALUE
+    private var startedMs = NOT_STARTED
     private var isLeaving = false
     private var drainedMs: Long? = null
     private var hasLeft = false
@@ -110,6 +112,7 @@
     fun onTick(nowMs: Long): MembershipOutput =
         output { out ->
             if (hasLeft) return@output
+            if (startedMs == NOT_STARTED) startedMs = nowMs
             watcher.onTick(nowMs, out)
             if (watcher.isUp && incarnation != NOT_JOINED) keepRecord(nowMs, out)
             if (drainedMs == null && incarnation != NOT_JOINED) coordinator.onTick(nowMs, incarnation, out)
@@ -142,9 +145,9 @@
             when (message) {
                 is StandingRequest -> answer(nowMs, from, message, out)
                 is StandingReply -> onStandingReply(nowMs, from, fromIncarnation, message, out)
-                is RosterNotice -> onNotice(from, message, out)
+                is RosterNotice -> exchange.onNotice(from, message, incarnation != NOT_JOINED, out)
                 is RosterAck -> coordinator.onAck(Witness(from, fromIncarnation), message.epoch)
-                is RosterPull -> answerPull(from, message, out)
+                is RosterPull -> exchange.onPull(from, message, out)
                 is RosterPush -> takeRoster(Stored(message.document, message.revision), out)
             }
         }
@@ -203,7 +206,7 @@
     }
 
     private fun isStoreSilent(nowMs: Long): Boolean {
-        val evidenceMs = watcher.evidenceMs ?: return true
+        val evidenceMs = watcher.evidenceMs ?: return nowMs - startedMs > SILENCE_MARGIN_MS
         val usualAgeMs = settings.renewPeriodMs(fleetSize()) + settings.watchWaitMs(fleetSize()) + SILENCE_MARGIN_MS
         return !watcher.isUp || nowMs - evidenceMs > usualAgeMs
     }
@@ -305,35 +308,7 @@
         tracker.onRelayedVotes(reply.roster.epoch, sentAtMs, reply.voteAgesMs)
         reply.storeWord?.let { freshness.onWord(sentAtMs, it) }
         notePeerRevision(from, reply.configurationRevision, out)
-        if (reply.roster > holder.version && isStoreSilent(nowMs)) pull(nowMs, from, out)
-    }
-
-    private fun pull(
-        nowMs: Long,
-        from: HostId,
-        out: OutputBuilder,
-    ) {
-        if (nowMs < nextPullMs) return
-        nextPullMs = nowMs + settings.renewIntervalMs
-        out.send(from, RosterPull(holder.version))
-    }
-
-    private fun onNotice(
-        from: HostId,
-        notice: RosterNotice,
-        out: OutputBuilder,
-    ) {
-        memory.hear(notice.epoch)
-        if (incarnation != NOT_JOINED) out.send(from, RosterAck(notice.epoch))
-    }
-
-    private fun answerPull(
-        from: HostId,
-        pull: RosterPull,
-        out: OutputBuilder,
-    ) {
-        val stored = holder.stored ?: return
-        if (stored.value.version > pull.have) out.send(from, RosterPush(stored.value, stored.revision))
+        if (isStoreSilent(nowMs)) exchange.onPeerVersion(nowMs, from, reply.roster, out)
     }
 
     private fun notePeerRevision(
@@ -358,5 +333,6 @@
         val NOT_JOINED: Incarnation = Incarnation(0)
 
         private const val SILENCE_MARGIN_MS = 500L
+        private const val NOT_STARTED = Long.MAX_VALUE
     }
 }
--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/standing/PeerInquiry.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/standing/PeerInquiry.kt
@@ -45,11 +45,11 @@
     ) {
         val isDue = nowMs >= nextRoundMs || (needsWitnesses && !lastRoundAskedWitnesses)
         if (!isDue) return
+        val targets = targets(needsWitnesses, isStoreSilent)
+        if (targets.isEmpty()) return
         val fleetSize = holder.members.size
         nextRoundMs = nowMs + if (needsWitnesses) settings.askPeriodMs(fleetSize) else settings.renewPeriodMs(fleetSize)
         lastRoundAskedWitnesses = needsWitnesses
-        val targets = targets(needsWitnesses, isStoreSilent)
-        if (targets.isEmpty()) return
         val nonce = random.nextLong()
         questions.add(nonce, nowMs)
         val request = MembershipMessage.StandingRequest(nonce, holder.version.epoch, configurationRevision)
@@ -64,7 +64,8 @@
         val targets = mutableSetOf<HostId>()
         if (needsWitnesses) targets += witnessesOrRelays(isStoreSilent)
         if (isStoreSilent) targets += randomHosts(members.filter { it.region == settings.storeRegion }, 1)
-        targets += if (members.isEmpty()) settings.seedHosts else randomHosts(members, settings.gossipFanOut)
+        if (isStoreSilent && members.isEmpty()) targets += settings.seedHosts
+        targets += randomHosts(members, settings.gossipFanOut)
         return targets - description.host
     }
 
