--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/MembershipAgent.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/MembershipAgent.kt
@@ -23,6 +23,7 @@
 import io.kumquatmill.membership.record.RosterDocument
 import io.kumquatmill.membership.record.Witness
 import io.kumquatmill.membership.roster.RosterCoordinator
+import io.kumquatmill.membership.roster.RosterExchange
 import io.kumquatmill.membership.roster.RosterHolder
 import io.kumquatmill.membership.standing.PeerInquiry
 import io.kumquatmill.membership.standing.StandingTracker
@@ -55,11 +56,19 @@
     private val watcher = StoreWatcher(settings, random, ::fleetSize)
     private val leases = LeaseKeeper(description.host, settings, watcher, random, ::fleetSize)
     private val coordinator = RosterCoordinator(description.host, settings, watcher, holder, hostList, tracker)
+    private val exchange = RosterExchange(settings, holder, memory)
     private val inquiry = PeerInquiry(description, settings, holder, random)
-    private val freshness = ConfigurationFreshness()
+    private val freshness =
+        ConfigurationFreshness(
+            settings = settings,
+            isInStoreRegion = description.region == settings.storeRegion,
+            revisionInForce = configurationRevision,
+            hasStanding = { nowMs -> standing(nowMs).isValid(nowMs) },
+            isStoreRegionGone = ::isStoreRegionGone,
+        )
     private val hosts = KnownHosts(settings, watcher, hostList)
     private var incarnation = NOT_JOINED
-    private var nextPullMs = Long.MIN_VALUE
+    private var startedMs = NOT_STARTED
     private var isLeaving = false
     private var drainedMs: Long? = null
     private var hasLeft = false
@@ -94,13 +103,7 @@
     }
 
     /** Returns whether routes that need a key may be served: no withdrawal can have been missed for longer than the bound. */
-    fun configurationIsFresh(nowMs: Long): Boolean =
-        when {
-            configurationRevision() == 0L -> false
-            settings.isolationPolicy == IsolationPolicy.SERVE -> true
-            hasFreshWord(nowMs) -> true
-            else -> isStoreRegionGone(nowMs) && standing(nowMs).isValid(nowMs)
-        }
+    fun configurationIsFresh(nowMs: Long): Boolean = freshness.isFresh(nowMs)
 
     /** Returns all entry hosts that are known, for steering. */
     fun knownHosts(nowMs: Long): List<KnownHost> = hosts.list(nowMs, holder.members)
@@ -109,6 +112,7 @@
     fun onTick(nowMs: Long): MembershipOutput =
         output { out ->
             if (hasLeft) return@output
+            if (startedMs == NOT_STARTED) startedMs = nowMs
             watcher.onTick(nowMs, out)
             if (watcher.isUp && incarnation != NOT_JOINED) keepRecord(nowMs, out)
             if (drainedMs == null && incarnation != NOT_JOINED) coordinator.onTick(nowMs, incarnation, out)
@@ -141,9 +145,9 @@
             when (message) {
                 is StandingRequest -> answer(nowMs, from, message, out)
                 is StandingReply -> onStandingReply(nowMs, from, fromIncarnation, message, out)
-                is RosterNotice -> onNotice(from, message, out)
+                is RosterNotice -> exchange.onNotice(from, message, incarnation != NOT_JOINED, out)
                 is RosterAck -> coordinator.onAck(Witness(from, fromIncarnation), message.epoch)
-                is RosterPull -> answerPull(from, message, out)
+                is RosterPull -> exchange.onPull(from, message, out)
                 is RosterPush -> takeRoster(Stored(message.document, message.revision), out)
             }
         }
@@ -202,7 +206,7 @@
     }
 
     private fun isStoreSilent(nowMs: Long): Boolean {
-        val evidenceMs = watcher.evidenceMs ?: return true
+        val evidenceMs = watcher.evidenceMs ?: return nowMs - startedMs > SILENCE_MARGIN_MS
         val usualAgeMs = settings.renewPeriodMs(fleetSize()) + settings.watchWaitMs(fleetSize()) + SILENCE_MARGIN_MS
         return !watcher.isUp || nowMs - evidenceMs > usualAgeMs
     }
@@ -219,7 +223,7 @@
         noteUndecoded(changes, out)
         watcher.view.roster?.let { takeRoster(it, out) }
         watcher.view.roster?.let { tracker.onStoreEvidence(it.value.epoch, sentAtMs) }
-        freshness.confirm(sentAtMs)
+        freshness.onStoreAnswer(sentAtMs)
         if (incarnation == NOT_JOINED) continueAsNewIncarnation(out)
     }
 
@@ -276,8 +280,7 @@
         out: OutputBuilder,
     ) {
         memory.hear(request.epoch)
-        out.peerRevision(from, request.configurationRevision)
-        confirmInStoreRegion(nowMs)
+        notePeerRevision(from, request.configurationRevision, out)
         val isVouched = incarnation != NOT_JOINED && memory.vouchesFor(request.epoch)
         val reply =
             StandingReply(
@@ -286,7 +289,7 @@
                 highestEpoch = memory.highestEpoch,
                 roster = holder.version,
                 configurationRevision = configurationRevision(),
-                storeWord = freshness.wordToPass(nowMs, settings.freshnessMs, configurationRevision()),
+                storeWord = freshness.wordToPass(nowMs),
                 voteAgesMs = tracker.voteAgesToRelay(nowMs, request.epoch, settings.standingMs),
             )
         out.send(from, reply)
@@ -303,48 +306,18 @@
         memory.hear(reply.highestEpoch)
         reply.vouchedEpoch?.let { tracker.onVouched(from, fromIncarnation, it, sentAtMs) }
         tracker.onRelayedVotes(reply.roster.epoch, sentAtMs, reply.voteAgesMs)
-        reply.storeWord?.let { freshness.onWord(sentAtMs, it, configurationRevision()) }
-        out.peerRevision(from, reply.configurationRevision)
-        if (reply.roster > holder.version && isStoreSilent(nowMs)) pull(nowMs, from, out)
-    }
-
-    private fun pull(
-        nowMs: Long,
-        from: HostId,
-        out: OutputBuilder,
-    ) {
-        if (nowMs < nextPullMs) return
-        nextPullMs = nowMs + settings.renewIntervalMs
-        out.send(from, RosterPull(holder.version))
-    }
-
-    private fun onNotice(
-        from: HostId,
-        notice: RosterNotice,
-        out: OutputBuilder,
-    ) {
-        memory.hear(notice.epoch)
-        if (incarnation != NOT_JOINED) out.send(from, RosterAck(notice.epoch))
+        reply.storeWord?.let { freshness.onWord(sentAtMs, it) }
+        notePeerRevision(from, reply.configurationRevision, out)
+        if (isStoreSilent(nowMs)) exchange.onPeerVersion(nowMs, from, reply.roster, out)
     }
 
-    private fun answerPull(
+    private fun notePeerRevision(
         from: HostId,
-        pull: RosterPull,
+        revision: Long,
         out: OutputBuilder,
     ) {
-        val stored = holder.stored ?: return
-        if (stored.value.version > pull.have) out.send(from, RosterPush(stored.value, stored.revision))
-    }
-
-    private fun hasFreshWord(nowMs: Long): Boolean {
-        confirmInStoreRegion(nowMs)
-        val wordMs = freshness.wordMs ?: return false
-        return nowMs - wordMs < settings.freshnessMs
-    }
-
-    /** Members next to the store learn of every edit, so their standing is word of the configuration. */
-    private fun confirmInStoreRegion(nowMs: Long) {
-        if (description.region == settings.storeRegion && standing(nowMs).isValid(nowMs)) freshness.confirm(nowMs)
+        freshness.onPeerRevision(revision)
+        out.peerRevision(from, revision)
     }
 
     private fun isStoreRegionGone(nowMs: Long): Boolean {
@@ -360,5 +333,6 @@
         val NOT_JOINED: Incarnation = Incarnation(0)
 
         private const val SILENCE_MARGIN_MS = 500L
+        private const val NOT_STARTED = Long.MAX_VALUE
     }
 }
