Let the owner of slots learn of a shortage and read host lists

Cause: a worker of which this host holds no free slot was passed over without a word, so the share ledger saw no demand and borrowed nothing. Nothing mapped the platform's host list to workers either.

Change: when no slot is free, a slot of up to two full workers is asked for, never beyond the worker's own slots. A worker names its host, by default as itself; the pool takes a whole list, ignores an empty one and leaves hosts alone that were never listed.

--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/WorkerPool.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/WorkerPool.kt
@@ -1,5 +1,6 @@
 package io.kumquatmill.routing.health
 
+import io.kumquatmill.common.id.HostId
 import io.kumquatmill.common.id.RegionId
 import io.kumquatmill.common.id.UpstreamId
 import io.kumquatmill.common.id.WorkerId
@@ -99,13 +100,23 @@
         setDrain(nowMs, state, DrainSource.ANSWER, true)
     }
 
-    /** Notes whether the platform's host list shows the host of [worker] as leaving or gone. */
-    fun listedAsLeaving(
+    /**
+     * Takes the platform's list of [live] and [leaving] hosts into account.
+     *
+     * Workers of a host that is leaving, or that was listed before and is gone, get nothing new. An empty list is ignored.
+     */
+    fun hostListRead(
         nowMs: Long,
-        worker: WorkerId,
-        isLeaving: Boolean,
+        live: Set<HostId>,
+        leaving: Set<HostId>,
     ) {
-        states[worker]?.let { setDrain(nowMs, it, DrainSource.HOST_LIST, isLeaving) }
+        if (live.isEmpty() && leaving.isEmpty()) return
+        for (state in states.values) {
+            val isLive = state.worker.host in live
+            val isLeaving = state.worker.host in leaving || (state.wasListed && !isLive)
+            state.wasListed = state.wasListed || isLive
+            setDrain(nowMs, state, DrainSource.HOST_LIST, isLeaving)
+        }
     }
 
     /** Ends drains that only an old answer of the worker speaks for; call it at each tick. */
--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/WorkerState.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/WorkerState.kt
@@ -21,11 +21,16 @@
     var rampRounding: Double = 0.0
     var load: WorkerLoad? = null
     var drainAnsweredAtMs: Long = 0
+    var wasListed: Boolean = false
     val drainSources: EnumSet<DrainSource> = EnumSet.noneOf(DrainSource::class.java)
 
     val isDraining: Boolean
         get() = drainSources.isNotEmpty()
 
+    /** Whether the worker may get only a part of the slots that are held, or none. */
+    val isRestricted: Boolean
+        get() = isDraining || isEjected || rampStartedAtMs != null
+
     fun recordLatency(
         nowMs: Long,
         sampleMs: Long,
--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/model/Worker.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/model/Worker.kt
@@ -2,11 +2,16 @@
 
 import io.kumquatmill.common.fleet.HostAddress
 import io.kumquatmill.common.id.AvailabilityZoneId
+import io.kumquatmill.common.id.HostId
 import io.kumquatmill.common.id.RegionId
 import io.kumquatmill.common.id.UpstreamId
 import io.kumquatmill.common.id.WorkerId
 
-/** A process of an upstream; it serves at most [slots] requests at a time. */
+/**
+ * A process of an upstream; it serves at most [slots] requests at a time.
+ *
+ * [host] is the name of its host in the platform's list.
+ */
 data class Worker(
     val id: WorkerId,
     val upstream: UpstreamId,
@@ -14,4 +19,5 @@
     val availabilityZone: AvailabilityZoneId,
     val address: HostAddress,
     val slots: Int,
+    val host: HostId = HostId(id.value),
 )
--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/worker/WorkerSelector.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/worker/WorkerSelector.kt
@@ -11,7 +11,8 @@
  * Chooses the better of two random workers that have a free slot for this host.
  *
  * The host's own requests in flight decide; load reports and latency only lower a worker's weight. [heldSlots] gives
- * the slots of a worker that this host may use now; cold workers get a growing part of them.
+ * the slots of a worker that this host may use now; cold workers get a growing part of them. When all are in use, a slot
+ * of one or two full workers is asked for all the same, so that the owner of the slots learns of the shortage.
  */
 class WorkerSelector(
     private val pool: WorkerPool,
@@ -20,6 +21,7 @@
     private val settings: SelectionSettings = SelectionSettings(),
 ) {
     private val candidates = ArrayList<WorkerState>()
+    private val fullWorkers = ArrayList<WorkerState>()
 
     /** Takes a slot of the chosen worker with [trySlot] and returns the worker. */
     fun select(
@@ -35,7 +37,15 @@
             if (trySlot(state.worker.id)) return WorkerChoice.Chosen(state.worker)
             removeCandidate(index)
         }
-        return if (hasUsableWorker) WorkerChoice.NoSlot else WorkerChoice.NoWorker
+        return askFullWorkers(trySlot) ?: if (hasUsableWorker) WorkerChoice.NoSlot else WorkerChoice.NoWorker
+    }
+
+    private fun askFullWorkers(trySlot: (WorkerId) -> Boolean): WorkerChoice.Chosen? {
+        repeat(minOf(MAX_SHORTAGE_ASKS, fullWorkers.size)) {
+            val worker = fullWorkers.removeAt(random.nextInt(fullWorkers.size)).worker
+            if (trySlot(worker.id)) return WorkerChoice.Chosen(worker)
+        }
+        return null
     }
 
     private fun collectCandidates(
@@ -44,16 +54,23 @@
         query: WorkerQuery,
     ): Boolean {
         candidates.clear()
+        fullWorkers.clear()
         var hasUsableWorker = false
         for (state in group.states) {
             if (state.isDraining || state.worker.id in query.excluded) continue
             if (!isOut(nowMs, state)) hasUsableWorker = true
             val usableSlots = state.usableSlots(nowMs, heldSlots(state.worker), pool.settings)
-            if (state.inFlight < usableSlots) candidates.add(state)
+            if (state.inFlight < usableSlots) {
+                candidates.add(state)
+            } else if (mayAskForMore(state)) {
+                fullWorkers.add(state)
+            }
         }
         return hasUsableWorker
     }
 
+    private fun mayAskForMore(state: WorkerState): Boolean = !state.isRestricted && state.inFlight < state.worker.slots
+
     private fun isOut(
         nowMs: Long,
         state: WorkerState,
@@ -103,5 +120,6 @@
 
     private companion object {
         const val MAX_COUNTED_FAILURES = 3
+        const val MAX_SHORTAGE_ASKS = 2
     }
 }
--- a/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/health/WorkerPoolTest.kt
+++ b/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/health/WorkerPoolTest.kt
@@ -67,6 +67,15 @@
         assertTrue(pool.isEjected(workers[0].id), "a worker that does not answer")
     }
 
+    @Test
+    fun `workers of hosts that leave the list get nothing and unlisted ones are left alone`() {
+        val hosts = workers.map { it.host }
+        pool.hostListRead(0, live = hosts.take(4).toSet(), leaving = setOf(hosts[4]))
+        pool.hostListRead(1, live = hosts.drop(1).take(4).toSet(), leaving = emptySet())
+        pool.hostListRead(2, live = emptySet(), leaving = emptySet())
+        assertEquals(listOf(hosts[0]), workers.filter { pool.isDraining(it.id) }.map { it.host })
+    }
+
     @Test
     fun `a drain ends only when every source of it says so`() {
         val worker = workers[0].id
--- a/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/worker/WorkerSelectorTest.kt
+++ b/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/worker/WorkerSelectorTest.kt
@@ -67,6 +67,17 @@
         assertEquals(WorkerChoice.NoSlot, selector.select(0, query) { false })
     }
 
+    @Test
+    fun `a host without slots asks for some of a worker that may take requests`() {
+        val pool = WorkerPool(workers, Random(1))
+        val selector = WorkerSelector(pool, Random(1), heldSlots = { 0 })
+        workers.drop(5).forEach { pool.drainAnswered(0, it.id) }
+        val asked = ArrayList<WorkerId>()
+        repeat(50) { assertEquals(WorkerChoice.NoSlot, selector.select(0, query) { id -> asked.add(id).let { false } }) }
+        assertEquals(100, asked.size, "slots asked for")
+        assertEquals(workers.take(5).map { it.id }.toSet(), asked.toSet())
+    }
+
     @Test
     fun `tried and leaving workers get nothing`() {
         val pool = WorkerPool(workers, Random(1))
@@ -74,7 +85,7 @@
         workers.drop(2).forEach { pool.drainAnswered(0, it.id) }
         val excluded = query.copy(excluded = setOf(workers[0].id))
         repeat(50) { assertEquals(workers[1].id, chosen(selector.select(0, excluded) { true })) }
-        pool.listedAsLeaving(0, workers[1].id, isLeaving = true)
+        pool.hostListRead(0, live = emptySet(), leaving = setOf(workers[1].host))
         assertEquals(WorkerChoice.NoWorker, selector.select(0, excluded) { true })
     }
 
