--- a/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/Daemon.kt
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/Daemon.kt
@@ -1,6 +1,7 @@
 package io.kumquatmill.daemon
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.kumquatmill.common.fleet.HostAddress
 import io.kumquatmill.common.id.RequestId
 import io.kumquatmill.common.time.MonotonicClock
 import io.kumquatmill.daemon.caller.CallerHandler
@@ -64,12 +65,13 @@
         LoadPoller(settings.topology.workers, settings.forward) { worker, report -> loop.putResult(NodeEvent.LoadReported(worker, report)) }
     private val hostList = Poller("host-list", settings.platform.hostListIntervalMs, ::readHostList)
     private val statusReader = Poller("status", STATUS_INTERVAL_MS, ::readStatus)
+    private val callers = CallerHandler(settings.limits, pending, clock, ::nextRequestId, loop::offerRequest, loop::offerResult)
     private val server =
         CallerServer(
             address = settings.host.callerAddress,
             limits = settings.limits,
             operatorRoutes = operatorRoutes(loop, clock, if (settings.metrics.isEnabled) metrics::text else null),
-            callers = CallerHandler(settings.limits, pending, clock, ::nextRequestId, loop::offerRequest, loop::offerResult),
+            callers = callers,
         )
 
     /** Starts all threads and listens. */
@@ -86,13 +88,20 @@
 
     /** Leaves the fleet, ends all requests and returns whether that was done in time. */
     fun stop(): Boolean {
+        val giveUpAtMs = clock.nowMs() + settings.limits.stopTimeoutMs
         loop.putResult(NodeEvent.StopRequested)
-        val isDone = exited.await(settings.limits.stopTimeoutMs, TimeUnit.MILLISECONDS)
+        val hasExited = exited.await(settings.limits.stopTimeoutMs, TimeUnit.MILLISECONDS)
+        val isDone = hasExited && awaitAnswersSent(giveUpAtMs)
         if (!isDone) logger.error { "the node had not stopped after ${settings.limits.stopTimeoutMs} ms; requests may be cut" }
         close()
         return isDone
     }
 
+    private fun awaitAnswersSent(giveUpAtMs: Long): Boolean {
+        while (callers.unfinishedExchanges > 0 && clock.nowMs() < giveUpAtMs) Thread.sleep(STOP_POLL_MS)
+        return callers.unfinishedExchanges == 0
+    }
+
     override fun close() {
         server.close()
         listOf(
@@ -139,7 +148,7 @@
         metrics.watchDrops("forward") { forwarder.refused }
     }
 
-    private fun clientSettings(addresses: List<io.kumquatmill.common.fleet.HostAddress>) =
+    private fun clientSettings(addresses: List<HostAddress>) =
         PlatformClientSettings(addresses = addresses, callTimeoutMs = settings.platform.storeTimeoutMs)
 
     /** Carries out the node's effects; runs on the decision thread and never waits. */
@@ -167,6 +176,7 @@
 
     private companion object {
         const val STATUS_INTERVAL_MS = 1_000L
+        const val STOP_POLL_MS = 5L
         const val RANDOM_BYTES = 6
 
         fun randomHex(): String = HexFormat.of().formatHex(ByteArray(RANDOM_BYTES).also { SecureRandom().nextBytes(it) })
--- a/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/CallerHandler.kt
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/CallerHandler.kt
@@ -8,11 +8,16 @@
 import io.kumquatmill.configuration.model.KeyHash
 import io.kumquatmill.node.event.NodeEvent
 import io.kumquatmill.settings.RequestLimits
+import io.undertow.io.Receiver
 import io.undertow.server.HttpHandler
 import io.undertow.server.HttpServerExchange
+import io.undertow.server.RequestTooBigException
+import org.http4k.core.Request
 import org.http4k.core.Response
 import org.xnio.XnioExecutor
+import java.io.IOException
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 
 /** Takes the node's events of callers; returns false when there is no room. */
 internal fun interface RequestSink {
@@ -32,15 +37,22 @@
     private val requests: RequestSink,
     private val cancellations: RequestSink,
 ) : HttpHandler {
+    private val unfinished = AtomicInteger()
+
+    /** Number of requests that were read and whose answer has not been sent to its end. */
+    val unfinishedExchanges: Int
+        get() = unfinished.get()
+
     override fun handleRequest(exchange: HttpServerExchange) {
         if (exchange.requestContentLength > limits.maxBodyBytes) {
             exchange.isPersistent = false
             return refuse(exchange, RefusalReason.BODY_TOO_LARGE, null)
         }
         val timer = exchange.ioThread.executeAfter({ onSlowBody(exchange) }, limits.bodyTimeoutMs, TimeUnit.MILLISECONDS)
+        exchange.requestReceiver.setMaxBufferSize(limits.maxBodyBytes.toInt())
         exchange.requestReceiver.receiveFullBytes(
             { _, body -> if (timer.remove() || body.isEmpty()) onBody(exchange, body) },
-            { _, e -> onBodyError(exchange, timer, e.message.orEmpty()) },
+            { _, e -> onBodyError(exchange, timer, e) },
         )
     }
 
@@ -53,14 +65,14 @@
     private fun onBodyError(
         exchange: HttpServerExchange,
         timer: XnioExecutor.Key,
-        detail: String,
+        error: IOException,
     ) {
         timer.remove()
         if (exchange.isResponseStarted || !exchange.connection.isOpen) return
         exchange.isPersistent = false
-        val isTooLarge = exchange.requestContentLength == UNKNOWN_LENGTH && detail.contains("large")
+        val isTooLarge = error is Receiver.RequestToLargeException || error is RequestTooBigException
         val reason = if (isTooLarge) RefusalReason.BODY_TOO_LARGE else RefusalReason.MALFORMED_REQUEST
-        refuse(exchange, reason, if (isTooLarge) null else "the body can't be read ($detail): send it again")
+        refuse(exchange, reason, if (isTooLarge) null else "the body can't be read (${error.message}): send it again")
     }
 
     private fun onBody(
@@ -85,7 +97,7 @@
 
     private fun admit(
         exchange: HttpServerExchange,
-        request: org.http4k.core.Request,
+        request: Request,
         upstream: UpstreamRequest,
         keyHash: KeyHash?,
     ) {
@@ -94,6 +106,7 @@
         val waiting =
             PendingRequest(id, upstream, clock.nowMs()) { response -> exchange.ioThread.execute { send(exchange, watch, response) } }
         if (!pending.add(waiting)) return refuse(exchange, RefusalReason.QUEUE_FULL, null)
+        countUntilSent(exchange)
         exchange.dispatch(NOTHING)
         watch.start()
         val event =
@@ -112,6 +125,14 @@
         }
     }
 
+    private fun countUntilSent(exchange: HttpServerExchange) {
+        unfinished.incrementAndGet()
+        exchange.addExchangeCompleteListener { _, next ->
+            unfinished.decrementAndGet()
+            next.proceed()
+        }
+    }
+
     private fun onDisconnect(
         id: RequestId,
         exchange: HttpServerExchange,
@@ -137,7 +158,6 @@
     ) = exchange.send(refusalResponse(Outcome.NotRun(reason, RETRY_AFTER_MS), request = null, detail))
 
     private companion object {
-        const val UNKNOWN_LENGTH = -1L
         const val RETRY_AFTER_MS = 1_000L
         val NOTHING = Runnable { }
     }
--- a/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/CallerServer.kt
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/CallerServer.kt
@@ -16,6 +16,9 @@
 private const val MAX_OPERATOR_QUEUE = 256
 private const val MAX_HEADERS = 100
 
+/** Room above the largest body, so that the handler refuses it with an answer before Undertow closes the connection. */
+private const val ENTITY_MARGIN_BYTES = 64L * 1024
+
 /** The HTTP server for callers and operators, bounded in connections, heads, bodies and threads. */
 internal class CallerServer(
     address: HostAddress,
@@ -37,7 +40,7 @@
             .setSocketOption(Options.CONNECTION_HIGH_WATER, limits.maxConnections)
             .setSocketOption(Options.CONNECTION_LOW_WATER, limits.maxConnections)
             .setSocketOption(Options.TCP_NODELAY, true)
-            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, maxOf(1, limits.maxBodyBytes))
+            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, limits.maxBodyBytes + ENTITY_MARGIN_BYTES)
             .setServerOption(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeadBytes)
             .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
             .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, limits.headTimeoutMs.toInt())
--- a/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/DisconnectWatch.kt
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/DisconnectWatch.kt
@@ -1,5 +1,6 @@
 package io.kumquatmill.daemon.caller
 
+import io.undertow.connector.PooledByteBuffer
 import io.undertow.server.AbstractServerConnection
 import io.undertow.server.HttpServerExchange
 import org.xnio.ChannelListener
@@ -26,7 +27,7 @@
         formerListener = channel.readListener
         isWatching = true
         channel.setReadListener { read() }
-        channel.resumeReads()
+        connection.originalSourceConduit.resumeReads()
     }
 
     /** Gives the connection back to Undertow, before the answer is sent. */
@@ -34,7 +35,7 @@
         if (!isWatching) return
         isWatching = false
         val channel = connection?.channel?.sourceChannel ?: return
-        channel.suspendReads()
+        connection.originalSourceConduit.suspendReads()
         channel.setReadListener(formerListener)
     }
 
@@ -54,7 +55,7 @@
         }
     }
 
-    private fun handBack(pooled: io.undertow.connector.PooledByteBuffer) {
+    private fun handBack(pooled: PooledByteBuffer) {
         pooled.buffer.flip()
         connection?.extraBytes = pooled
         stop()
--- a/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/forward/AnswerReader.kt
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/forward/AnswerReader.kt
@@ -3,6 +3,7 @@
 import io.kumquatmill.common.http.HeaderNames
 import io.kumquatmill.common.id.RequestId
 import io.kumquatmill.common.outcome.Outcome
+import io.kumquatmill.common.outcome.RefusalReason
 import io.kumquatmill.common.outcome.wireName
 import io.kumquatmill.daemon.caller.callerHeaders
 import io.kumquatmill.node.event.AttemptResult
@@ -19,12 +20,6 @@
 private const val NOT_MODIFIED = 304
 private const val READ_STEP_BYTES = 64L * 1024
 
-/** The end of an attempt and, if it was answered, the answer to keep. */
-internal class AttemptEnd(
-    val result: AttemptResult,
-    val answer: Response? = null,
-)
-
 /** Reads a worker's answer to [request] to its end and checks that it is whole and belongs to the request. */
 internal fun readAnswer(
     response: okhttp3.Response,
@@ -32,9 +27,18 @@
     maxAnswerBytes: Long,
 ): AttemptEnd {
     val echoed = response.header(HeaderNames.REQUEST_ID)
-    if (echoed != request.value) return unknown("the answer belongs to request ${echoed ?: "without id"}")
-    if (response.isShed()) return AttemptEnd(AttemptResult.Shed(response.retryAfterMs(), response.header(HeaderNames.DRAINING) == "true"))
-    if (!response.hasKnownEnd()) return unknown("the answer has neither Content-Length nor chunks, so its end can't be checked")
+    return when {
+        echoed != request.value -> unknown("the answer belongs to request ${echoed ?: "without id"}")
+        response.isShed() -> AttemptEnd(AttemptResult.Shed(response.retryAfterMs(), response.header(HeaderNames.DRAINING) == "true"))
+        !response.hasKnownEnd() -> unknown("the answer has neither Content-Length nor chunks, so its end can't be checked")
+        else -> readWhole(response, maxAnswerBytes)
+    }
+}
+
+private fun readWhole(
+    response: okhttp3.Response,
+    maxAnswerBytes: Long,
+): AttemptEnd {
     val body = readBody(response, maxAnswerBytes) ?: return unknown("the answer is longer than $maxAnswerBytes bytes")
     return AttemptEnd(AttemptResult.Answered(response.code, body.size.toLong()), callerResponse(response, body))
 }
@@ -43,8 +47,7 @@
 
 private fun okhttp3.Response.isShed(): Boolean = code == UNAVAILABLE && header(HeaderNames.OUTCOME) == notRunName
 
-private val notRunName =
-    Outcome.NotRun(io.kumquatmill.common.outcome.RefusalReason.NO_CAPACITY, retryAfterMs = 0).wireName
+private val notRunName = Outcome.NotRun(RefusalReason.NO_CAPACITY, retryAfterMs = 0).wireName
 
 private fun okhttp3.Response.retryAfterMs(): Long =
     header(AttemptInterceptor.RENAMED_RETRY_AFTER)?.toLongOrNull()?.coerceIn(0, Long.MAX_VALUE / MS_PER_S)?.times(MS_PER_S)
--- a/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/metrics/DaemonMetrics.kt
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/metrics/DaemonMetrics.kt
@@ -12,6 +12,7 @@
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 
 private const val NONE = "none"
@@ -20,6 +21,7 @@
 internal class DaemonMetrics {
     private val prometheus = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val registry: MeterRegistry = prometheus
+    private val values = ConcurrentHashMap<String, AtomicDouble>()
 
     /** Returns all meters as text. */
     fun text(): String = prometheus.scrape()
@@ -97,8 +99,6 @@
         }
     }
 
-    private val values = java.util.concurrent.ConcurrentHashMap<String, AtomicDouble>()
-
     private fun set(
         name: String,
         value: Number,
--- a/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/platform/StoreDuty.kt
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/platform/StoreDuty.kt
@@ -8,6 +8,7 @@
 import io.kumquatmill.store.StoreCall
 import io.kumquatmill.store.StoreClient
 import io.kumquatmill.store.StoreError
+import io.kumquatmill.store.StoreReply
 
 private const val LEASE_THREADS = 1
 private const val CALL_THREADS = 2
@@ -50,7 +51,7 @@
 
     private fun end(
         effect: NodeEffect.CallStore,
-        result: Either<StoreError, io.kumquatmill.store.StoreReply>,
+        result: Either<StoreError, StoreReply>,
     ) = onEnd(NodeEvent.StoreCallEnded(effect.callId, effect.call, result))
 
     private fun poolFor(call: StoreCall): DutyPool =
--- /dev/null
+++ b/kumquatmill-daemon/src/test/kotlin/io/kumquatmill/daemon/RelayNode.kt
@@ -0,0 +1,82 @@
+package io.kumquatmill.daemon
+
+import io.kumquatmill.common.fleet.HostAddress
+import io.kumquatmill.common.id.AttemptId
+import io.kumquatmill.common.id.HostId
+import io.kumquatmill.common.id.Incarnation
+import io.kumquatmill.common.id.RegionId
+import io.kumquatmill.common.id.RequestId
+import io.kumquatmill.common.id.WorkerId
+import io.kumquatmill.common.id.WorkspaceId
+import io.kumquatmill.common.outcome.Outcome
+import io.kumquatmill.common.outcome.RefusalReason
+import io.kumquatmill.node.EntryHost
+import io.kumquatmill.node.EntryNode
+import io.kumquatmill.node.Lifecycle
+import io.kumquatmill.node.LookUpAnswer
+import io.kumquatmill.node.LookUpQuery
+import io.kumquatmill.node.NodeStatus
+import io.kumquatmill.node.effect.NodeEffect
+import io.kumquatmill.node.event.AttemptResult
+import io.kumquatmill.node.event.NodeEvent
+import java.util.concurrent.CopyOnWriteArrayList
+
+/** A node that forwards each request to one worker and relays its answer. */
+internal class RelayNode : EntryNode {
+    val events = CopyOnWriteArrayList<NodeEvent>()
+    private val open = LinkedHashMap<AttemptId, RequestId>()
+    private var lastAttempt = 0L
+    private var isStopping = false
+
+    /** Runs before each request is handled. */
+    @Volatile
+    var beforeRequest: () -> Unit = {}
+
+    override fun handle(
+        nowMs: Long,
+        event: NodeEvent,
+    ): List<NodeEffect> {
+        if (event != NodeEvent.Tick) events += event
+        return decide(event) + if (isStopping && open.isEmpty()) listOf(NodeEffect.Exit) else emptyList()
+    }
+
+    override fun lookUp(
+        nowMs: Long,
+        query: LookUpQuery,
+    ): LookUpAnswer = LookUpAnswer.Found(listOf(EntryHost(HostId("h1"), RegionId("west"), HostAddress("127.0.0.1", 1))), emptyList(), 5_000)
+
+    override fun status(nowMs: Long): NodeStatus =
+        NodeStatus(HostId("h1"), Incarnation(1), Lifecycle.LIVE, 1, 1, true, open.size, 0, emptyList())
+
+    private fun decide(event: NodeEvent): List<NodeEffect> =
+        when (event) {
+            is NodeEvent.RequestArrived -> forward(event.request)
+            is NodeEvent.RequestCancelled -> cancel(event.request)
+            is NodeEvent.AttemptEnded -> end(event)
+            is NodeEvent.StopRequested -> emptyList<NodeEffect>().also { isStopping = true }
+            else -> emptyList()
+        }
+
+    private fun forward(request: RequestId): List<NodeEffect> {
+        beforeRequest()
+        val attempt = AttemptId(++lastAttempt)
+        open[attempt] = request
+        return listOf(NodeEffect.Forward(attempt, request, WorkerId("o1"), WorkspaceId("clinic"), TIMEOUT_MS, true))
+    }
+
+    private fun cancel(request: RequestId): List<NodeEffect> {
+        val attempts = open.filterValues { it == request }.keys.toList()
+        attempts.forEach { open.remove(it) }
+        return attempts.map { NodeEffect.CancelAttempt(it) }
+    }
+
+    private fun end(event: NodeEvent.AttemptEnded): List<NodeEffect> {
+        val request = open.remove(event.attempt) ?: return emptyList()
+        if (event.result is AttemptResult.Answered) return listOf(NodeEffect.RelayAnswer(request, event.attempt))
+        return listOf(NodeEffect.Refuse(request, Outcome.Unknown(RefusalReason.UPSTREAM_FAILED, retryAfterMs = 1_500)))
+    }
+
+    private companion object {
+        const val TIMEOUT_MS = 5_000L
+    }
+}
--- /dev/null
+++ b/kumquatmill-daemon/src/test/kotlin/io/kumquatmill/daemon/caller/UpstreamRequestTest.kt
@@ -0,0 +1,61 @@
+package io.kumquatmill.daemon.caller
+
+import org.http4k.core.Method
+import org.http4k.core.Request
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class UpstreamRequestTest {
+    private val key = "s3cret/key+of=carer"
+
+    @Test
+    fun `the key is in nothing that workers see`() {
+        val request =
+            Request(Method.GET, "/orders?a=1&key=s3cret%2Fkey%2Bof%3Dcarer&b=2&k=$key")
+                .header("Authorization", "Bearer $key")
+                .header("Cookie", "session=$key")
+                .header("X-Api-Key", key)
+                .header("X-Encoded", "s3cret%2Fkey%2Bof%3Dcarer")
+                .header("Accept", "text/plain")
+
+        val upstream = upstreamRequest(request, key, ByteArray(0)).fold({ error(it) }, { it })
+
+        assertEquals("/orders?a=1&b=2", upstream.pathAndQuery)
+        assertEquals(listOf("Accept" to "text/plain"), upstream.headers)
+    }
+
+    @Test
+    fun `a path or body with the key is refused`() {
+        val inPath = upstreamRequest(Request(Method.GET, "/orders/abcdefgh"), "abcdefgh", ByteArray(0))
+        val inBody = upstreamRequest(Request(Method.POST, "/orders"), key, "key: $key".toByteArray())
+
+        assertTrue(inPath.isLeft() && inBody.isLeft())
+    }
+
+    @Test
+    fun `hop-by-hop headers and headers of the system are dropped`() {
+        val request =
+            Request(Method.POST, "/orders")
+                .header("Connection", "keep-alive, X-Hop")
+                .header("X-Hop", "1")
+                .header("Transfer-Encoding", "chunked")
+                .header("Kumquatmill-Workspace", "another")
+                .header("kumquatmill-request-id", "forged")
+                .header("Idempotency-Key", "k1")
+
+        val upstream = upstreamRequest(request, null, ByteArray(0)).fold({ error(it) }, { it })
+
+        assertEquals(listOf("Idempotency-Key" to "k1"), upstream.headers)
+    }
+
+    @Test
+    fun `a key comes as one bearer token`() {
+        fun keyIn(vararg values: String) =
+            keyOf(values.fold(Request(Method.GET, "/")) { request, value -> request.header("Authorization", value) })
+
+        assertEquals(key, keyIn("Bearer $key").getOrNull())
+        assertEquals(key, keyIn("bearer  $key ").getOrNull())
+        assertTrue(keyIn("Basic abc").isLeft() && keyIn("Bearer ").isLeft() && keyIn("Bearer a", "Bearer b").isLeft())
+    }
+}
