Refuse paths that may match another route on their way, and answer faults of the node

OkHttp resolves dot segments, so /a/../orders passed the check of route a and reached orders: such paths are refused. A request that the node fails on was never answered; it is refused as not run, and none of its effects is carried out.

--- a/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/Answers.kt
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/Answers.kt
@@ -45,7 +45,10 @@
     private fun lostAnswer(request: RequestId): Response =
         refusalResponse(Outcome.Unknown(RefusalReason.INTERNAL_FAULT, RETRY_AFTER_MS), request)
 
-    private companion object {
-        const val RETRY_AFTER_MS = 1_000L
+    companion object {
+        private const val RETRY_AFTER_MS = 1_000L
+
+        /** Outcome of a request that the node failed on before it decided anything. */
+        val internalFault = Outcome.NotRun(RefusalReason.INTERNAL_FAULT, RETRY_AFTER_MS)
     }
 }
--- a/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/Daemon.kt
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/Daemon.kt
@@ -50,7 +50,7 @@
     private val hostListClient = HttpHostListClient(clientSettings(listOf(settings.platform.hostListAddress)), clock, metrics::called)
     private val effects = EffectRunner()
     private val loop =
-        DecisionLoop(node, settings.queues.ringCapacity, settings.queues.peerRingCapacity, clock, effects::run)
+        DecisionLoop(node, settings.queues.ringCapacity, settings.queues.peerRingCapacity, clock, effects::onFault, effects::run)
     private val store = StoreDuty(storeClient, loop::putResult)
     private val forwarder =
         Forwarder(
@@ -166,6 +166,11 @@
             }
         }
 
+        /** Answers the caller of a request that the node failed on; it did not run. */
+        fun onFault(event: NodeEvent) {
+            if (event is NodeEvent.RequestArrived) answers.refuse(NodeEffect.Refuse(event.request, Answers.internalFault))
+        }
+
         private fun log(effect: NodeEffect.LogDecision) {
             metrics.count(effect.decision)
             if (settings.logs.logsDecisions) decisions.write(effect.decision)
--- a/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/Main.kt
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/Main.kt
@@ -14,9 +14,10 @@
 import io.kumquatmill.settings.loadSettings
 import io.kumquatmill.settings.toLines
 import java.util.concurrent.CountDownLatch
-import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.system.exitProcess
 
+private const val NOT_STARTED = 1
 private const val BAD_SETTINGS = 2
 private const val STOPPED_LATE = 3
 private const val VERSION = "0.1.0"
@@ -46,22 +47,30 @@
 
     private fun serve(settings: DaemonSettings) {
         setUpLogs(settings.logs)
-        val daemon = Daemon(settings)
-        val isStoppedInTime = AtomicBoolean()
+        val daemon = started(Daemon(settings))
+        val exitCode = AtomicInteger(STOPPED_LATE)
         val stopRequested = CountDownLatch(1)
         val stopped = CountDownLatch(1)
         Runtime.getRuntime().addShutdownHook(
             Thread({
                 stopRequested.countDown()
                 stopped.await()
-                Runtime.getRuntime().halt(if (isStoppedInTime.get()) 0 else STOPPED_LATE)
+                Runtime.getRuntime().halt(exitCode.get())
             }, "stop"),
         )
-        daemon.start()
         stopRequested.await()
-        isStoppedInTime.set(daemon.stop())
+        if (daemon.stop()) exitCode.set(0)
         stopped.countDown()
     }
+
+    @Suppress("TooGenericExceptionCaught")
+    private fun started(daemon: Daemon): Daemon =
+        try {
+            daemon.apply { start() }
+        } catch (e: Exception) {
+            echo("kumquatmilld did not start (${e.message}): check that the addresses are of this host and free", err = true)
+            exitProcess(NOT_STARTED)
+        }
 }
 
 /** Runs [KumquatmilldCommand]. */
--- a/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/CallerHandler.kt
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/CallerHandler.kt
@@ -14,6 +14,7 @@
 import io.undertow.server.RequestTooBigException
 import org.http4k.core.Request
 import org.http4k.core.Response
+import org.xnio.IoUtils
 import org.xnio.XnioExecutor
 import java.io.IOException
 import java.util.concurrent.TimeUnit
@@ -105,7 +106,7 @@
         val watch = DisconnectWatch(exchange) { onDisconnect(id, exchange) }
         val waiting =
             PendingRequest(id, upstream, clock.nowMs()) { response -> exchange.ioThread.execute { send(exchange, watch, response) } }
-        if (!pending.add(waiting)) return refuse(exchange, RefusalReason.QUEUE_FULL, null)
+        if (unfinished.get() >= limits.maxRequestsInFlight || !pending.add(waiting)) return refuse(exchange, RefusalReason.QUEUE_FULL, null)
         countUntilSent(exchange)
         exchange.dispatch(NOTHING)
         watch.start()
@@ -148,7 +149,18 @@
         response: Response,
     ) {
         watch.stop()
-        if (!exchange.isComplete) exchange.send(response)
+        if (exchange.isComplete) return
+        closeWhenUnread(exchange)
+        exchange.send(response)
+    }
+
+    private fun closeWhenUnread(exchange: HttpServerExchange) {
+        val close = Runnable { IoUtils.safeClose(exchange.connection) }
+        val timer = exchange.ioThread.executeAfter(close, limits.idleTimeoutMs, TimeUnit.MILLISECONDS)
+        exchange.addExchangeCompleteListener { _, next ->
+            timer.remove()
+            next.proceed()
+        }
     }
 
     private fun refuse(
--- a/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/UpstreamRequest.kt
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/UpstreamRequest.kt
@@ -26,6 +26,9 @@
         "content-length",
     )
 
+private val unclearParts = listOf("\\", "%2f", "%5c", "%00", "%25")
+private val dotSegments = setOf(".", "..")
+
 /** The part of a caller's request that workers may see; neither the key nor headers of one connection are in it. */
 internal class UpstreamRequest(
     val method: Method,
@@ -41,17 +44,32 @@
     body: ByteArray,
 ): Either<String, UpstreamRequest> {
     val path = request.uri.path.ifEmpty { "/" }
-    if (key != null &&
-        (key in path || key in decoded(path))
-    ) {
-        return "the path holds the key: send it in the Authorization header only".left()
-    }
-    if (key != null && body.holds(key)) return "the body holds the key: send it in the Authorization header only".left()
+    val fault = faultOf(path, body, key)
+    if (fault != null) return fault.left()
     val query = withoutKey(request.uri.query, key)
     val pathAndQuery = if (query.isEmpty()) path else "$path?$query"
     return UpstreamRequest(request.method, pathAndQuery, upstreamHeaders(request.headers, key), body).right()
 }
 
+private fun faultOf(
+    path: String,
+    body: ByteArray,
+    key: String?,
+): String? =
+    when {
+        !isPlainPath(path) -> "the path holds dot segments, backslashes or encoded slashes: send the plain path"
+        carries(path, key) -> "the path holds the key: send it in the Authorization header only"
+        key != null && body.holds(key) -> "the body holds the key: send it in the Authorization header only"
+        else -> null
+    }
+
+/** Returns whether the route that [path] matches can't change on its way: libraries resolve dot segments. */
+private fun isPlainPath(path: String): Boolean {
+    val lowerPath = path.lowercase()
+    val hasOtherSlashes = unclearParts.any { it in lowerPath }
+    return !hasOtherSlashes && decoded(path).split('/').none { it.substringBefore(';') in dotSegments }
+}
+
 private fun upstreamHeaders(
     headers: Headers,
     key: String?,
--- a/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/decision/DecisionLoop.kt
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/decision/DecisionLoop.kt
@@ -17,13 +17,15 @@
  * The thread that owns the node: it feeds events and ticks and passes on the effects.
  *
  * Events wait in bounded rings. Requests, questions and peer messages are refused when theirs is full; results of work that the
- * node asked for have a ring of their own and wait for room.
+ * node asked for have a ring of their own and wait for room. [onFault] gets an event that the node failed on; none of its
+ * effects was carried out.
  */
 class DecisionLoop(
     private val node: EntryNode,
     ringCapacity: Int,
     peerRingCapacity: Int,
     private val clock: MonotonicClock = MonotonicClock.system,
+    private val onFault: (NodeEvent) -> Unit = {},
     private val carryOut: (NodeEffect) -> Unit,
 ) : AutoCloseable {
     private val results = MpscArrayQueue<NodeEvent>(atLeastTwo(ringCapacity))
@@ -95,7 +97,7 @@
         worked += drainEvents(results)
         worked += drainEvents(peerMessages)
         worked += drainEvents(requests)
-        worked += questions.drain({ guarded(it) }, BATCH)
+        worked += questions.drain({ guarded { it.run() } }, BATCH)
         return worked > 0
     }
 
@@ -109,16 +111,19 @@
         handle(NodeEvent.Tick)
     }
 
-    private fun handle(event: NodeEvent) = guarded { node.handle(clock.nowMs(), event).forEach(carryOut) }
+    private fun handle(event: NodeEvent) {
+        val effects = guarded { node.handle(clock.nowMs(), event) }
+        if (effects == null) onFault(event) else effects.forEach { effect -> guarded { carryOut(effect) } }
+    }
 
     @Suppress("TooGenericExceptionCaught")
-    private fun guarded(work: Runnable) {
+    private fun <T : Any> guarded(work: () -> T): T? =
         try {
-            work.run()
+            work()
         } catch (e: RuntimeException) {
             logger.error(e) { "a decision failed; the node goes on with the next event" }
+            null
         }
-    }
 
     private fun park() {
         isParked.set(true)
--- a/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/decision/DutyPool.kt
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/decision/DutyPool.kt
@@ -43,6 +43,12 @@
             false
         }
 
+    /** Takes no more work and waits at most [timeoutMs] for the end of what waits. */
+    fun finish(timeoutMs: Long) {
+        executor.shutdown()
+        executor.awaitTermination(timeoutMs, TimeUnit.MILLISECONDS)
+    }
+
     override fun close() {
         executor.shutdownNow()
     }
--- a/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/log/DecisionLog.kt
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/log/DecisionLog.kt
@@ -7,6 +7,7 @@
 import org.slf4j.spi.LoggingEventBuilder
 
 private const val RING_CAPACITY = 8_192
+private const val FLUSH_TIMEOUT_MS = 1_000L
 
 /** Writes a line for each decision, on a thread of its own; lines that find the ring full are dropped and counted. */
 internal class DecisionLog(
@@ -25,7 +26,7 @@
         writer.submit { line(decision).log("decision") }
     }
 
-    override fun close() = writer.close()
+    override fun close() = writer.finish(FLUSH_TIMEOUT_MS)
 
     private fun line(decision: Decision): LoggingEventBuilder =
         logger
--- a/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/metrics/DaemonMetrics.kt
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/metrics/DaemonMetrics.kt
@@ -1,5 +1,6 @@
 package io.kumquatmill.daemon.metrics
 
+import io.kumquatmill.common.outcome.RefusalReason
 import io.kumquatmill.node.NodeStatus
 import io.kumquatmill.node.effect.Decision
 import io.kumquatmill.node.effect.DecisionKind
@@ -17,6 +18,9 @@
 
 private const val NONE = "none"
 
+/** Reasons that may tag a meter; others are free text. */
+private val refusalReasons = RefusalReason.entries.map { it.wireName }.toSet()
+
 /** What the daemon measures of itself, for Prometheus. */
 internal class DaemonMetrics {
     private val prometheus = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
@@ -34,7 +38,7 @@
             listOf(
                 Tag.of("kind", decision.kind.wireName),
                 Tag.of("outcome", decision.outcome ?: NONE),
-                Tag.of("reason", if (isEnd) decision.reason else NONE),
+                Tag.of("reason", if (decision.reason in refusalReasons) decision.reason else NONE),
                 Tag.of("route", decision.route?.value ?: NONE),
                 Tag.of("workspace", decision.workspace?.value ?: NONE),
             )
--- a/kumquatmill-daemon/src/test/kotlin/io/kumquatmill/daemon/DaemonTest.kt
+++ b/kumquatmill-daemon/src/test/kotlin/io/kumquatmill/daemon/DaemonTest.kt
@@ -129,6 +129,40 @@
         }
     }
 
+    @Test
+    fun `a request sent before the answer to the one before is answered too`() {
+        val isRunning = CountDownLatch(1)
+        val release = CountDownLatch(1)
+        start {
+            isRunning.countDown()
+            release.await(WAIT_S, TimeUnit.SECONDS)
+            it.answer(body = it.body)
+        }
+        Socket(callerAddress.ip, callerAddress.port).use { socket ->
+            socket.soTimeout = WAIT_S.toInt() * 1_000
+            socket.getOutputStream().write("POST /orders HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nfirst".toByteArray())
+            isRunning.await(WAIT_S, TimeUnit.SECONDS)
+            socket.getOutputStream().write("POST /orders HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nsecnd".toByteArray())
+            release.countDown()
+            val seen = StringBuilder()
+            while (!seen.endsWith("secnd")) seen.append(socket.getInputStream().read().toChar())
+
+            assertTrue(seen.indexOf("first") in 0 until seen.indexOf("secnd"), seen.toString())
+        }
+    }
+
+    @Test
+    fun `a request that the node fails on is refused as not run`() {
+        val worker = start { it.answer() }
+        node.beforeRequest = { error("a fault of the node") }
+
+        val answer = call("POST /orders HTTP/1.1", body = "one")
+
+        assertContains(answer, "\"error\":\"internal-fault\"")
+        assertContains(answer, "\"outcome\":\"not-run\"")
+        assertEquals(0, worker.arrivals.size)
+    }
+
     @Test
     fun `a full ring refuses at once`() {
         start { it.answer() }
--- a/kumquatmill-daemon/src/test/kotlin/io/kumquatmill/daemon/caller/UpstreamRequestTest.kt
+++ b/kumquatmill-daemon/src/test/kotlin/io/kumquatmill/daemon/caller/UpstreamRequestTest.kt
@@ -33,6 +33,15 @@
         assertTrue(inPath.isLeft() && inBody.isLeft())
     }
 
+    @Test
+    fun `a path that could match another route on its way is refused`() {
+        val paths = listOf("/a/../orders", "/a/%2e%2E/orders", "/a/..;x/orders", "/a/.", "/a\\b", "/a%2Forders", "/a/%252e%252e/orders")
+
+        val accepted = paths.filter { upstreamRequest(Request(Method.GET, it), null, ByteArray(0)).isRight() }
+
+        assertEquals(emptyList(), accepted)
+    }
+
     @Test
     fun `hop-by-hop headers and headers of the system are dropped`() {
         val request =
