--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LedgerSettings.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LedgerSettings.kt
@@ -14,14 +14,16 @@
     val maxHomes: Int = 12,
     /** Longest time that a request holds a slot. */
     val maxRequestMs: Long = 10_000,
-    /** Time between a decision and its arrival at a worker that may vary; its part of the rate is kept back from the burst. */
-    val jitterGuardMs: Long = 100,
+    /** Most by which the times between a decision and its arrival at a worker differ; its part of the rate is kept back from the burst. */
+    val jitterGuardMs: Long = 40,
     /** Time over which demand is averaged. */
     val demandWindowMs: Long = 1_000,
     /** Time after the last demand at which a host gives back what it borrowed. */
     val idleReturnMs: Long = 5_000,
     /** Time after which a lender forgets a request that led to no loan and was not repeated. */
-    val wishMs: Long = 3_000,
+    val wishMs: Long = 5_000,
+    /** Interval at which a borrower repeats a request that was not met. */
+    val repeatIntervalMs: Long = 2_000,
     /** Interval at which a host compares its demand with its units, if nothing was short. */
     val reviewIntervalMs: Long = 250,
     /** Time after which a caller may come back when no better estimate is known. */
--- a/kumquatmill-limits/src/test/kotlin/io/kumquatmill/limits/ledger/FakeFleet.kt
+++ b/kumquatmill-limits/src/test/kotlin/io/kumquatmill/limits/ledger/FakeFleet.kt
@@ -44,6 +44,7 @@
     var network: FakeNetwork = FakeNetwork(),
     private val maxDrift: Double = 0.0,
     private val roster: FakeRoster = FakeRoster(members),
+    private val safeguards: Safeguards = Safeguards(),
 ) {
     val random = Random(seed)
     val processes = mutableListOf<FakeHost>()
@@ -58,6 +59,9 @@
 
     /** Extra delay of each message. */
     var extraDelayMs: (LedgerMessage) -> Long = { 0 }
+
+    /** Whether a schedule still lets things fail. */
+    var isFaulty = true
     var nowMs = 0L
         private set
     private val events = PriorityQueue<Event>(compareBy<Event> { it.atMs }.thenBy { it.order })
@@ -158,7 +162,8 @@
     }
 
     private fun start(member: Member) {
-        val host = FakeHost(member, ShareLedger(member.host, settings, specs), random.nextLong(1_000_000), clockSpeed())
+        val host =
+            FakeHost(member, ShareLedger(member.host, settings, specs, nowMs = 0, safeguards), random.nextLong(1_000_000), clockSpeed())
         processes += host
         every(TICK_MS) { deliver(host, isKept = false) { send(host, host.ledger.onTick(host.localMs(nowMs))) } }
         every(STANDING_REFRESH_MS) { if (!host.isFrozen(nowMs)) refreshStanding(host) }
--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/queue/FairQueue.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/queue/FairQueue.kt
@@ -10,27 +10,29 @@
  * Bounded queue in which each workspace waits behind its own requests only.
  *
  * Workspaces take turns by weighted deficit round robin, so that those who ask for less than their share get all of it
- * and the rest is split by weight. Requests that can't meet their deadline are refused at once, when they enter and
- * later. Use one for each group of workers that share their slots. The cost of a call does not grow with the number of
- * workspaces, and workspaces without waiting requests take no memory.
+ * and the rest is split by weight; one that kept within its share goes ahead with the turns it saved. Requests that
+ * can't meet their deadline are refused at once, when they enter and later. Use one queue for each group of workers that
+ * share their slots. The cost of a call does not grow with the number of workspaces, and workspaces that have not waited
+ * for a while take no memory.
  */
 class FairQueue(
     private val settings: QueueSettings = QueueSettings(),
 ) {
     private val entries = HashMap<RequestId, QueueEntry>()
     private val queues = HashMap<WorkspaceId, WorkspaceQueue>()
-    private val turns = ArrayDeque<WorkspaceQueue>()
+    private val order = TurnOrder(settings.maxSavedTurns)
     private val wheel = DeadlineWheel()
     private val pace = DispatchPace()
+    private val turnCost = TurnCost()
     private var activeWeight = 0
 
     /** Number of waiting requests. */
     val size: Int
         get() = entries.size
 
-    /** Number of workspaces held in memory. */
+    /** Number of workspaces held in memory: those that wait or did so a few turns ago. */
     val workspaceCount: Int
-        get() = queues.size
+        get() = queues.size + order.idleCount
 
     /** Returns the number of waiting requests of [workspace]. */
     fun sizeOf(workspace: WorkspaceId): Int = queues[workspace]?.size ?: 0
@@ -45,7 +47,7 @@
         if (size >= settings.maxTotal || sizeOf(request.workspace) >= settings.maxPerWorkspace) {
             return refuse(RefusalReason.QUEUE_FULL, waitMs)
         }
-        if (entries.isEmpty()) pace.backlogStarted(nowMs)
+        if (entries.isEmpty()) pace.slotsFree()
         enqueue(nowMs, QueueEntry(request))
         return QueueOffer.Queued(waitMs)
     }
@@ -60,18 +62,18 @@
         tryDispatch: (QueuedRequest) -> DispatchStep,
     ): List<QueueRefusal> {
         val refused = expire(nowMs)
-        val passedOver = ArrayList<WorkspaceQueue>()
         var hasSlots = true
         while (hasSlots) {
-            val queue = queueInTurn() ?: break
+            val queue = order.present() ?: break
             val entry = queue.head()
             when (tryDispatch(entry.request)) {
                 DispatchStep.DISPATCHED -> settle(nowMs, entry)
-                DispatchStep.PASS_OVER_WORKSPACE -> passedOver += turns.removeFirst()
+                DispatchStep.PASS_OVER_WORKSPACE -> order.passOver(queue)
                 DispatchStep.NO_SLOTS -> hasSlots = false
             }
         }
-        passedOver.asReversed().forEach(turns::addFirst)
+        order.endPassingOver()
+        if (hasSlots) pace.slotsFree() else pace.slotsShort(nowMs)
         return refused
     }
 
@@ -102,7 +104,8 @@
         val own = queues[request.workspace]
         val ownSize = own?.size ?: 0
         val othersWeight = activeWeight - (own?.weight ?: 0)
-        val turnsBefore = 1.0 + ownSize * (othersWeight + request.weight).toDouble() / request.weight
+        val ownCost = ownSize * turnCost.of(request.serviceMs)
+        val turnsBefore = 1.0 + ownCost * (othersWeight + request.weight) / request.weight
         return ceil(turnsBefore * pace.expectedIntervalMs(nowMs)).toLong()
     }
 
@@ -115,7 +118,7 @@
         nowMs: Long,
         entry: QueueEntry,
     ) {
-        val queue = queues.getOrPut(entry.request.workspace) { newQueue(entry.request) }
+        val queue = queues.getOrPut(entry.request.workspace) { order.activate(entry.request.workspace, entry.request.weight) }
         activeWeight -= queue.activeWeight()
         queue.add(entry)
         activeWeight += queue.activeWeight()
@@ -123,13 +126,6 @@
         wheel.add(nowMs, entry)
     }
 
-    private fun newQueue(request: QueuedRequest): WorkspaceQueue {
-        val queue = WorkspaceQueue(request.workspace)
-        queue.credit = request.weight.toDouble()
-        turns.addLast(queue)
-        return queue
-    }
-
     private fun remove(entry: QueueEntry) {
         val queue = queues.getValue(entry.request.workspace)
         activeWeight -= queue.activeWeight()
@@ -137,38 +133,22 @@
         activeWeight += queue.activeWeight()
         entries.remove(entry.request.id)
         wheel.remove(entry)
-        if (entries.isEmpty()) forgetQueues()
+        if (queue.isEmpty) {
+            queues.remove(queue.workspace)
+            order.deactivate(queue)
+        }
     }
 
     private fun settle(
         nowMs: Long,
         entry: QueueEntry,
     ) {
-        queues.getValue(entry.request.workspace).credit -= entry.request.cost
+        val serviceMs = entry.request.serviceMs
+        order.charge(queues.getValue(entry.request.workspace), turnCost.of(serviceMs), activeWeight)
         remove(entry)
+        turnCost.record(serviceMs)
         pace.dispatched(nowMs)
     }
 
-    /** Returns the workspace whose turn it is, or null if none waits; those whose turn is used up go to the end with a new one. */
-    private fun queueInTurn(): WorkspaceQueue? {
-        while (turns.isNotEmpty()) {
-            val queue = turns.first()
-            if (!queue.isEmpty && queue.credit > 0.0) return queue
-            turns.removeFirst()
-            if (queue.isEmpty) {
-                queues.remove(queue.workspace)
-            } else {
-                queue.credit += queue.weight
-                turns.addLast(queue)
-            }
-        }
-        return null
-    }
-
-    private fun forgetQueues() {
-        queues.clear()
-        turns.clear()
-    }
-
     private fun WorkspaceQueue.activeWeight(): Int = if (isEmpty) 0 else weight
 }
--- a/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/script/ScenarioBuilder.kt
+++ b/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/script/ScenarioBuilder.kt
@@ -55,6 +55,9 @@
         loads += CallerLoad(workspace, region, route, ratePerS, isSteady, bodyBytes)
     }
 
+    /** Removes the loads added so far. */
+    fun clearLoads() = loads.clear()
+
     /** Does [action] at [time] after the load has started. */
     fun at(
         time: Duration,
@@ -68,6 +71,9 @@
         length = time
     }
 
+    /** Returns the workspaces of the loads so far. */
+    internal fun workspaces(): List<String> = loads.mapNotNull { it.workspace }.distinct()
+
     internal fun toScenario(): Scenario =
         Scenario(
             name = name,
@@ -80,7 +86,7 @@
         )
 
     private companion object {
-        val DEFAULT_WARM_UP = 10.seconds
+        val DEFAULT_WARM_UP = 20.seconds
         val DEFAULT_LENGTH = 30.seconds
         const val DEFAULT_BODY_BYTES = 1_000L
     }
