--- /dev/null
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/capacity/Series.kt
@@ -0,0 +1,43 @@
+package io.kumquatmill.bench.capacity
+
+import io.kumquatmill.bench.fit.Line
+import io.kumquatmill.bench.fit.Point
+import kotlinx.serialization.Serializable
+
+/** A cost of one role of an entry host, measured at several sizes of [dimension]. */
+@Serializable
+data class Series(
+    val role: String,
+    val quantity: String,
+    val unit: String,
+    val dimension: String,
+    val points: List<Point>,
+    val todaySize: Double,
+    val targetSize: Double,
+) {
+    /** Line through the points. */
+    val line: Line
+        get() = Line.fit(points)
+}
+
+/** Collects the points of the [Series] of one role while it is measured. */
+internal class SeriesCollector(
+    private val role: String,
+    private val dimension: String,
+    private val todaySize: Double,
+    private val targetSize: Double,
+) {
+    private val points = LinkedHashMap<Pair<String, String>, MutableList<Point>>()
+
+    fun add(
+        quantity: String,
+        unit: String,
+        size: Int,
+        value: Double,
+    ) {
+        points.getOrPut(quantity to unit) { mutableListOf() } += Point(size.toDouble(), value)
+    }
+
+    fun series(): List<Series> =
+        points.map { (name, measured) -> Series(role, name.first, name.second, dimension, measured, todaySize, targetSize) }
+}
--- /dev/null
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/command/CapacityCommand.kt
@@ -0,0 +1,48 @@
+package io.kumquatmill.bench.command
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.multiple
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.choice
+import com.github.ajalt.clikt.parameters.types.enum
+import io.kumquatmill.bench.capacity.ConfigurationCost
+import io.kumquatmill.bench.capacity.DecisionCost
+import io.kumquatmill.bench.capacity.FleetCost
+import io.kumquatmill.bench.capacity.LedgerCost
+import io.kumquatmill.bench.capacity.LookUpCost
+import io.kumquatmill.bench.capacity.Series
+import io.kumquatmill.bench.capacity.capacityJson
+import io.kumquatmill.bench.capacity.capacityTable
+
+/** Measures each role of an entry host at several sizes and fits lines. */
+internal class CapacityCommand : CliktCommand(name = "capacity") {
+    private val output by option("--output", help = "Format of the figures")
+        .enum<OutputFormat> {
+            it.name.lowercase()
+        }.default(OutputFormat.TABLE)
+    private val roles by option(
+        "--role",
+        help = "Role to measure; may be given again; all by default",
+    ).choice(ROLES).multiple()
+
+    override fun help(context: Context): String =
+        "Measures state, messages, store calls and processor time of each role at several sizes and works out today and the target."
+
+    override fun run() {
+        val series = roles.ifEmpty { ROLES.values }.flatMap { it() }
+        echo(if (output == OutputFormat.JSON) capacityJson(series) else capacityTable(series))
+    }
+
+    private companion object {
+        val ROLES: Map<String, () -> List<Series>> =
+            linkedMapOf(
+                "look-up" to { LookUpCost().measure() },
+                "entry-proxy" to { DecisionCost().measure() },
+                "configuration" to { ConfigurationCost().measure() },
+                "share-ledger" to { LedgerCost().measure() },
+                "membership" to { FleetCost().measure() },
+            )
+    }
+}
--- /dev/null
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/table/TextTable.kt
@@ -0,0 +1,29 @@
+package io.kumquatmill.bench.table
+
+/** Returns [rows] under [header] as a table in Markdown, with aligned columns. */
+internal fun textTable(
+    header: List<String>,
+    rows: List<List<String>>,
+): String {
+    val widths = header.indices.map { column -> (rows + listOf(header)).maxOf { it[column].length } }
+    val separator = widths.map { "-".repeat(it) }
+    return (listOf(header, separator) + rows).joinToString("\n") { row ->
+        row.indices.joinToString(" | ", "| ", " |") { row[it].padEnd(widths[it]) }
+    }
+}
+
+/** Returns [value] with three significant digits, without an exponent. */
+internal fun figure(value: Double): String {
+    val magnitude = kotlin.math.abs(value)
+    return when {
+        magnitude >= HUNDRED -> "%,.0f".format(value)
+        magnitude >= TEN -> "%.1f".format(value)
+        magnitude >= HUNDREDTH -> "%.2f".format(value)
+        value == 0.0 -> "0"
+        else -> "%.5f".format(value)
+    }
+}
+
+private const val HUNDRED = 100.0
+private const val TEN = 10.0
+private const val HUNDREDTH = 0.01
