Measure the heap that a part retains and ledgers of a large fleet

Heap differences between runs were negative, because garbage of the run before counted; now what is measured is released and the difference taken. At 150 hosts a host has as many busy limits as at the target.

--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/capacity/ConfigurationCost.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/capacity/ConfigurationCost.kt
@@ -16,10 +16,14 @@
 internal class ConfigurationCost(
     private val workspaceCounts: List<Int> = Sizes.workspaceCounts,
 ) {
-    private val collector =
+    private var collector = newCollector()
+
+    private fun newCollector() =
         SeriesCollector("configuration", "workspaces", Sizes.today.workspaces.toDouble(), Sizes.target.workspaces.toDouble())
 
     fun measure(): List<Series> {
+        measureAt(workspaceCounts.last())
+        collector = newCollector()
         workspaceCounts.forEach(::measureAt)
         addSize(Sizes.target.workspaces)
         return collector.series()
--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/capacity/DecisionCost.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/capacity/DecisionCost.kt
@@ -19,6 +19,7 @@
     private val byWorkers = collector("workers", Sizes.today.workers, Sizes.target.workers)
 
     fun measure(): List<Series> {
+        measureAt(FleetPlan(hosts = 1, ratePerS = RATE_PER_S), 1, collector("warm-up", 1, 1))
         workspaceCounts.forEach { measureAt(FleetPlan(hosts = 1, workspaces = it, ratePerS = RATE_PER_S), it, byWorkspaces) }
         workerCounts.forEach { measureAt(FleetPlan(hosts = 1, workers = it, ratePerS = RATE_PER_S), it, byWorkers) }
         return byWorkspaces.series() + byWorkers.series()
@@ -35,12 +36,19 @@
         size: Int,
         into: SeriesCollector,
     ) {
-        val heapBefore = usedHeapBytes()
-        val fleet = ControlFleet(plan)
+        val stateBytes = retainedBytes { ControlFleet(plan).also { measureAt(it, plan, size, into) } }
+        into.add("state of a whole host", "bytes", size, stateBytes)
+    }
+
+    private fun measureAt(
+        fleet: ControlFleet,
+        plan: FleetPlan,
+        size: Int,
+        into: SeriesCollector,
+    ) {
         fleet.start()
         val calls = DecisionCalls(fleet, plan)
         calls.run(WARM_UP_CALLS)
-        into.add("state of a whole host", "bytes", size, (usedHeapBytes() - heapBefore).toDouble())
         val histogram = calls.run(MEASURED_CALLS)
         into.add("decision and end of an attempt, p50", "us", size, histogram.getValueAtPercentile(MEDIAN) / NS_PER_US)
         into.add("decision and end of an attempt, p99", "us", size, histogram.getValueAtPercentile(HIGH) / NS_PER_US)
--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/capacity/FleetCost.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/capacity/FleetCost.kt
@@ -21,11 +21,17 @@
     private fun collector(role: String) = SeriesCollector(role, "hosts", Sizes.today.hosts.toDouble(), Sizes.target.hosts.toDouble())
 
     private fun measureAt(hosts: Int) {
-        val heapBefore = usedHeapBytes()
-        val fleet = ControlFleet(FleetPlan(hosts, regions = if (hosts <= Sizes.today.hosts) Sizes.today.regions else Sizes.target.regions))
+        val regions = if (hosts <= Sizes.today.hosts) Sizes.today.regions else Sizes.target.regions
+        val stateBytes = retainedBytes { ControlFleet(FleetPlan(hosts, regions)).also { measure(it, hosts) } }
+        membership.add("state of a whole host, 8 workspaces", "bytes", hosts, stateBytes / hosts)
+    }
+
+    private fun measure(
+        fleet: ControlFleet,
+        hosts: Int,
+    ) {
         fleet.start()
         addStore(fleet, hosts, "start of all hosts")
-        membership.add("state of a whole host, 8 workspaces", "bytes", hosts, (usedHeapBytes() - heapBefore).toDouble() / hosts)
         check(fleet.standingHosts == hosts) { "${fleet.standingHosts} of $hosts hosts have standing after the start" }
         measureSteady(fleet, hosts)
         measureChange(fleet, hosts)
--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/capacity/LedgerCost.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/capacity/LedgerCost.kt
@@ -28,13 +28,16 @@
     private val limitCounts: List<Int> = Sizes.limitCounts,
     private val fleetSizes: List<Int> = Sizes.fleetSizes,
 ) {
-    private val byLimits = collector("limits", TODAY_LIMITS, TARGET_LIMITS)
+    private val byLimits = collector("limits, 7 hosts", TODAY_LIMITS, TODAY_LIMITS)
+    private val byLimitsInLargeFleet = collector("limits, 150 hosts", TODAY_LIMITS, TARGET_LIMITS_IN_LARGE_FLEET)
     private val byHosts = collector("hosts", Sizes.today.hosts, Sizes.target.hosts)
 
     fun measure(): List<Series> {
-        limitCounts.forEach { LedgerFleet(Sizes.today.hosts, it).measure(it, byLimits) }
-        fleetSizes.forEach { LedgerFleet(it, LIMITS_BY_HOSTS).measure(it, byHosts) }
-        return byLimits.series() + byHosts.series()
+        measure(Sizes.today.hosts, LIMITS_BY_HOSTS, 1, collector("warm-up", 1, 1))
+        limitCounts.forEach { measure(Sizes.today.hosts, it, it, byLimits) }
+        limitCounts.forEach { measure(LARGE_FLEET, it, it, byLimitsInLargeFleet) }
+        fleetSizes.forEach { measure(it, LIMITS_BY_HOSTS, it, byHosts) }
+        return byLimits.series() + byLimitsInLargeFleet.series() + byHosts.series()
     }
 
     private fun collector(
@@ -43,15 +46,25 @@
         target: Int,
     ) = SeriesCollector("share ledger", dimension, today.toDouble(), target.toDouble())
 
-    private fun LedgerFleet.measure(
+    private fun measure(
+        hosts: Int,
+        limits: Int,
         size: Int,
         into: SeriesCollector,
     ) {
-        run()
-        into.add("state of a limit", "bytes a host", size, heapBytesPerLimit)
-        into.add("messages", "1/s a host", size, messagesPerS)
-        into.add("peer bytes sent and received", "bytes/s a host", size, bytesPerS)
-        into.add("tick with its messages", "us", size, tickUs)
+        val stateBytes = retainedBytes { LedgerFleet(hosts, limits).also { measure(it, size, into) }.ledgers }
+        into.add("state of a limit", "bytes a host", size, stateBytes / hosts / limits)
+    }
+
+    private fun measure(
+        fleet: LedgerFleet,
+        size: Int,
+        into: SeriesCollector,
+    ) {
+        fleet.run()
+        into.add("messages", "1/s a host", size, fleet.messagesPerS)
+        into.add("peer bytes sent and received", "bytes/s a host", size, fleet.bytesPerS)
+        into.add("tick with its messages", "us", size, fleet.tickUs)
     }
 
     companion object {
@@ -60,8 +73,11 @@
         /** Limits of a deployment of today: workspaces, workers, links and shifts. */
         const val TODAY_LIMITS: Int = 8 + 40 + 6 + 6
 
-        /** Limits at the target: workspaces, workers, and links and shifts of 8 regions. */
-        const val TARGET_LIMITS: Int = 10_000 + 1_100 + 56 + 56
+        /** Hosts of the fleet in which a host has as many busy limits as one of the target. */
+        const val LARGE_FLEET: Int = 150
+
+        /** Busy limits with which each of [LARGE_FLEET] hosts has as many as each of 450 hosts at the target. */
+        const val TARGET_LIMITS_IN_LARGE_FLEET: Int = 10_000 * 150 / 450
     }
 }
 
@@ -76,14 +92,10 @@
     private val specs = (1..limits).map { LimitSpec.Rate(LimitId("rate/workspace-$it"), RATE_PER_S, RATE_PER_S) }
     private val callersOf = specs.associate { it.id to callers(it.id) }
     private val traffic = Traffic()
-    private var ledgers = emptyMap<HostId, ShareLedger>()
+    val ledgers = members.associate { it.host to ShareLedger(it.host, LedgerSettings(), specs) }
     private var inbox = emptyList<PeerEnvelope>()
     private var handlingNs = 0L
 
-    /** Bytes of heap for each limit and host. */
-    var heapBytesPerLimit: Double = 0.0
-        private set
-
     val messagesPerS: Double get() = traffic.messages / hostSeconds
     val bytesPerS: Double get() = 2 * traffic.peerBytes / hostSeconds
     val tickUs: Double get() = handlingNs / NS_PER_US / (hosts * (MEASURED_MS / TICK_MS))
@@ -91,10 +103,7 @@
 
     /** Warms up, then measures for ten seconds of virtual time. */
     fun run() {
-        val heapBefore = usedHeapBytes()
-        ledgers = members.associate { it.host to ShareLedger(it.host, LedgerSettings(), specs) }
         run(0, WARM_UP_MS)
-        heapBytesPerLimit = (usedHeapBytes() - heapBefore).toDouble() / hosts / limits
         traffic.reset()
         handlingNs = 0
         run(WARM_UP_MS, WARM_UP_MS + MEASURED_MS)
--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/capacity/LookUpCost.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/capacity/LookUpCost.kt
@@ -29,9 +29,13 @@
         (0 until Sizes.target.hosts).map {
             SteerableHost(HostId("h$it"), regions[it % regions.size], ADDRESS, SteerableState.LIVE)
         }
-    private val collector = SeriesCollector("look-up", "blocks", Sizes.today.blocks.toDouble(), Sizes.target.blocks.toDouble())
+    private var collector = newCollector()
+
+    private fun newCollector() = SeriesCollector("look-up", "blocks", Sizes.today.blocks.toDouble(), Sizes.target.blocks.toDouble())
 
     fun measure(): List<Series> {
+        measureAt(blockCounts.first())
+        collector = newCollector()
         blockCounts.forEach(::measureAt)
         return collector.series()
     }
@@ -44,12 +48,16 @@
         collector.add("state", "bytes", blocks, table.sizeBytes.toDouble())
         collector.add("block table, build", "ms of a core", blocks, build.toDouble(DurationUnit.MILLISECONDS))
         collector.add("block table, a site down", "ms of a core", blocks, rebuild.toDouble(DurationUnit.MILLISECONDS))
-        val heapBefore = usedHeapBytes()
-        val calls = LookUpCalls(table, blocks)
+        val orderBytes = retainedBytes { LookUpCalls(table, blocks).also { measureCalls(it, blocks) }.steering }
+        collector.add("state of the order of hosts", "bytes", blocks, orderBytes)
+    }
+
+    private fun measureCalls(
+        calls: LookUpCalls,
+        blocks: Int,
+    ) {
         collector.add("first look-up of a workspace", "us", blocks, calls.first().perCallUs())
         collector.add("look-up", "us", blocks, calls.next().perCallUs())
-        collector.add("state of the order of hosts", "bytes", blocks, (usedHeapBytes() - heapBefore).toDouble())
-        calls.close()
     }
 
     private fun Duration.perCallUs(): Double = toDouble(DurationUnit.MICROSECONDS) / CALLS
@@ -78,10 +86,7 @@
         private val random = Random(2)
         private val ips = List(CALLS) { dotted(FIRST_ADDRESS + random.nextLong(blocks * BLOCK_SIZE)) }
         private val ids = List(workspaces) { WorkspaceId("workspace-$it") }
-        private val steering = SteeringTable(hosts, table::regionsOf, demandPerS = { DEMAND_PER_S })
-
-        /** Keeps the table reachable until its memory was measured. */
-        fun close() = check(ips.isNotEmpty()) { "no look-ups were made" }
+        val steering = SteeringTable(hosts, table::regionsOf, demandPerS = { DEMAND_PER_S })
 
         fun first(): Duration = measureTime { run() }
 
--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/capacity/Series.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/capacity/Series.kt
@@ -2,6 +2,7 @@
 
 import io.kumquatmill.bench.fit.Line
 import io.kumquatmill.bench.fit.Point
+import io.kumquatmill.bench.table.figure
 import kotlinx.serialization.Serializable
 
 /** A cost of one role of an entry host, measured at several sizes of [dimension]. */
@@ -35,6 +36,7 @@
         size: Int,
         value: Double,
     ) {
+        System.err.println("$role, $quantity, $size $dimension: ${figure(value)} $unit")
         points.getOrPut(quantity to unit) { mutableListOf() } += Point(size.toDouble(), value)
     }
 
