Compare the design with a simple policy in virtual time

Experiment files describe deployment, plans, load and failures; bench compare runs them under a naive policy, the design, and the design without single mechanisms.

--- /dev/null
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/measure/RunMeasures.kt
@@ -0,0 +1,108 @@
+package io.kumquatmill.bench.measure
+
+import io.kumquatmill.bench.policy.HostBucket
+import io.kumquatmill.common.outcome.Outcome
+import io.kumquatmill.scenario.history.Observation
+import io.kumquatmill.scenario.script.ScenarioResult
+import io.kumquatmill.scenario.script.latencyMs
+import io.kumquatmill.scenario.virtual.CallEnd
+import kotlinx.serialization.Serializable
+
+/** What is measured of one run of an experiment under one policy. */
+@Serializable
+data class RunMeasures(
+    val experiment: String,
+    val policy: String,
+    val seed: Long,
+    val calls: Int,
+    val p50Ms: Long,
+    val p99Ms: Long,
+    val p999Ms: Long,
+    val worstToMedianP99: Double,
+    val callsInsideRate: Int,
+    val wrongfulRefusals: Int,
+    val lastWrongfulMs: Long?,
+    val unknownOutcomes: Int,
+    val drainMs: Long?,
+    val leastFreeSlots: Map<String, Int>,
+    val violations: Map<String, Int>,
+) {
+    /** Part of the requests inside their rate that were refused. */
+    val wrongfulPart: Double
+        get() = if (callsInsideRate == 0) 0.0 else wrongfulRefusals.toDouble() / callsInsideRate
+}
+
+/** Rate and burst of a workspace, against which its calls are judged. */
+internal data class AllowedRate(
+    val ratePerS: Double,
+    val burst: Int,
+)
+
+/** Returns the measures of this run under [policy], with the rates in [allowed]. */
+internal fun ScenarioResult.measures(
+    policy: String,
+    allowed: Map<String, AllowedRate>,
+): RunMeasures {
+    val inside = callsInsideRate(allowed)
+    val wrongful = inside.filter { it.outcome is Outcome.NotRun }
+    return RunMeasures(
+        experiment = name,
+        policy = policy,
+        seed = seed,
+        calls = calls.size,
+        p50Ms = calls.latencyMs(MEDIAN),
+        p99Ms = calls.latencyMs(HIGH),
+        p999Ms = calls.latencyMs(HIGHEST),
+        worstToMedianP99 = worstToMedianP99(allowed.keys),
+        callsInsideRate = inside.size,
+        wrongfulRefusals = wrongful.size,
+        lastWrongfulMs = wrongful.maxOfOrNull { it.startedAtMs - warmUpMs },
+        unknownOutcomes = calls.count { it.outcome == null || it.outcome is Outcome.Unknown },
+        drainMs = drainMs(),
+        leastFreeSlots = leastFreeSlots(history),
+        violations = violations.groupingBy { it.invariant }.eachCount(),
+    )
+}
+
+/** Returns the calls that a full bucket of the workspace's rate and burst lets through, in the order of their start. */
+internal fun ScenarioResult.callsInsideRate(allowed: Map<String, AllowedRate>): List<CallEnd> =
+    calls
+        .filter { it.load.workspace in allowed }
+        .groupBy { checkNotNull(it.load.workspace) }
+        .flatMap { (workspace, all) ->
+            val rate = allowed.getValue(workspace)
+            val bucket = HostBucket(rate.ratePerS, rate.burst.toDouble())
+            all.sortedBy { it.startedAtMs }.filter { bucket.tryTake(it.startedAtMs) }
+        }
+
+private fun ScenarioResult.worstToMedianP99(workspaces: Set<String>): Double {
+    val p99s =
+        calls
+            .filter { it.load.workspace in workspaces }
+            .groupBy { it.load.workspace }
+            .map { (_, all) -> all.latencyMs(HIGH) }
+            .sorted()
+    val medianMs = p99s.getOrNull(p99s.size / 2) ?: return 1.0
+    return if (medianMs == 0L) 1.0 else p99s.last().toDouble() / medianMs
+}
+
+/** Longest time in which a leaving worker still got work, or a stopping host went on. */
+private fun ScenarioResult.drainMs(): Long? {
+    val arrivals = history.all<Observation.AttemptArrived>().groupBy { it.worker }
+    val workers =
+        history.all<Observation.WorkerLeaving>().map { leaving ->
+            val lastMs = arrivals[leaving.worker].orEmpty().maxOfOrNull { it.atMs } ?: leaving.atMs
+            maxOf(0, lastMs - leaving.atMs)
+        }
+    val ends = history.all<Observation.HostEnded>()
+    val hosts =
+        history.all<Observation.HostStopping>().map { stopping ->
+            val ended = ends.firstOrNull { it.host == stopping.host && it.atMs >= stopping.atMs }
+            (ended?.atMs ?: history.endMs) - stopping.atMs
+        }
+    return (workers + hosts).maxOrNull()
+}
+
+private const val MEDIAN = 0.5
+private const val HIGH = 0.99
+private const val HIGHEST = 0.999
--- /dev/null
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/policy/Policies.kt
@@ -0,0 +1,41 @@
+package io.kumquatmill.bench.policy
+
+import io.kumquatmill.node.NodeSettings
+import io.kumquatmill.scenario.virtual.NodeFactory
+import io.kumquatmill.scenario.virtual.defaultNodes
+
+private const val MANY_SAMPLES = 1_000_000
+private const val TINY_PART = 1e-6
+
+/** Node factories by the name that experiments and tables use. */
+object Policies {
+    /** Name of the design with all its mechanisms. */
+    const val FULL: String = "full"
+
+    /** Name of the simple policy that the design is compared with. */
+    const val NAIVE: String = "naive"
+
+    private val byName: Map<String, NodeFactory> =
+        mapOf(
+            NAIVE to naiveNodes(),
+            FULL to defaultNodes(),
+            "no-loans" to defaultNodes { it.withoutLoans() },
+            "no-ejection" to defaultNodes { it.withoutEjection() },
+            "no-retries" to defaultNodes { it.copy(retry = it.retry.copy(maxAttempts = 1)) },
+            "no-rate-wait" to defaultNodes { it.copy(request = it.request.copy(rateWaitMs = 0)) },
+            "no-report-weight" to defaultNodes { it.copy(selection = it.selection.copy(minReportWeight = 1.0)) },
+            "spread-callers" to defaultNodes { it.copy(steering = it.steering.copy(maxHostPart = TINY_PART)) },
+        )
+
+    /** Names of all policies. */
+    val names: Set<String>
+        get() = byName.keys
+
+    /** Returns the nodes of the policy [name]. */
+    fun nodesOf(name: String): NodeFactory = requireNotNull(byName[name]) { "there is no policy '$name': use one of $names" }
+
+    private fun NodeSettings.withoutLoans() = copy(ledger = ledger.copy(repeatIntervalMs = Long.MAX_VALUE, loanMs = 1))
+
+    private fun NodeSettings.withoutEjection() =
+        copy(health = health.copy(consecutiveFailures = MANY_SAMPLES, outlierMinSamples = MANY_SAMPLES))
+}
