Follow operators' drain requests and the platform's list of worker hosts

Cause: drains that kumquatctl writes were watched by nobody, and the list of hosts was not told to the worker pool. Change: membership's watch keeps the names to drain; the pool drains workers by name, host or upstream; a host that finds its own name stops in an orderly way.

--- a/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/OperatorRoutes.kt
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/OperatorRoutes.kt
@@ -112,6 +112,7 @@
         put("configurationRevision", status.configurationRevision)
         put("rosterEpoch", status.rosterEpoch)
         put("hasStanding", status.hasStanding)
+        put("servesKeys", status.servesKeys)
         put("inFlightRequests", status.inFlightRequests)
         put("queuedRequests", status.queuedRequests)
         putJsonArray("shares") {
--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/MembershipAgent.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/MembershipAgent.kt
@@ -84,6 +84,10 @@
     val self: Member
         get() = description.member(incarnation)
 
+    /** Names of the hosts, workers and upstreams that operators want drained, as last seen in the store. */
+    val drainRequests: Set<String>
+        get() = watcher.view.drainRequests
+
     /** Where this host is on its way into and out of the fleet. */
     val lifecycle: MembershipLifecycle
         get() =
--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/store/StoreView.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/store/StoreView.kt
@@ -9,6 +9,7 @@
 import io.kumquatmill.store.StoreCall
 import io.kumquatmill.store.StoreChange
 import io.kumquatmill.store.StoreEntry
+import io.kumquatmill.store.StoreKeys
 
 /** A document of the store with the revision of its last write. */
 internal data class Stored<out T>(
@@ -34,6 +35,10 @@
     val records: Map<HostId, Stored<HostRecord>>
         get() = recordsByHost
 
+    /** Names of the hosts, workers and upstreams that operators want drained. */
+    var drainRequests: Set<String> = emptySet()
+        private set
+
     /** Returns since when [host] has had no record, or null if it has one or never had. */
     fun recordAbsentSinceMs(host: HostId): Long? = absentSince[host]
 
@@ -54,6 +59,7 @@
 
     private fun knownKeys(): List<String> =
         recordsByHost.keys.map(MembershipKeys::host) +
+            drainRequests.map { StoreKeys.DRAIN_PREFIX + it } +
             listOf(MembershipKeys.ROSTER).filter { rosterRevision != StoreCall.NO_REVISION }
 
     /** Applies those of [changes] that are new and returns them. */
@@ -75,9 +81,15 @@
         when {
             change.key == MembershipKeys.ROSTER -> applyRoster(change)
             change.key.startsWith(MembershipKeys.HOST_PREFIX) -> applyRecord(nowMs, change)
+            change.key.startsWith(StoreKeys.DRAIN_PREFIX) -> applyDrain(change)
         }
     }
 
+    private fun applyDrain(change: StoreChange) {
+        val name = change.key.removePrefix(StoreKeys.DRAIN_PREFIX)
+        drainRequests = if (change.value == null) drainRequests - name else drainRequests + name
+    }
+
     private fun applyRoster(change: StoreChange) {
         rosterRevision = if (change.value == null) StoreCall.NO_REVISION else change.revision
         roster = change.value?.let(::decodeRoster)?.let { Stored(it, change.revision) }
--- a/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/Coordination.kt
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/Coordination.kt
@@ -44,6 +44,10 @@
     val snapshot: ConfigurationSnapshot?
         get() = register.snapshot
 
+    /** Names of what operators want drained. */
+    val drainRequests: Set<String>
+        get() = membership.drainRequests
+
     val lifecycle: MembershipLifecycle
         get() = membership.lifecycle
 
--- a/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/DefaultEntryNode.kt
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/DefaultEntryNode.kt
@@ -30,6 +30,7 @@
 import io.kumquatmill.routing.route.RouteTable
 import io.kumquatmill.routing.shift.ShiftRamps
 import io.kumquatmill.routing.worker.WorkerSelector
+import io.kumquatmill.store.HostListState
 import kotlin.random.Random
 
 /**
@@ -52,6 +53,7 @@
     private var nowMs = 0L
     private val requests = requestDesk(Random(random.nextLong()))
     private var hasExited = false
+    private var drainRequests: Set<String> = emptySet()
 
     override fun handle(
         nowMs: Long,
@@ -64,7 +66,7 @@
             is NodeEvent.AttemptEnded -> requests.endAttempt(nowMs, event, coordination.snapshot) + healthChanges()
             is NodeEvent.StoreCallEnded -> coordination.onStoreCallEnded(nowMs, event)
             is NodeEvent.PeerMessageReceived -> coordination.onPeerMessage(nowMs, event.envelope)
-            is NodeEvent.HostListRead -> coordination.onHostList(nowMs, event)
+            is NodeEvent.HostListRead -> onHostList(event)
             is NodeEvent.LoadReported -> onLoadReport(event)
             is NodeEvent.Tick -> onTick()
             is NodeEvent.StopRequested -> onStop()
@@ -126,12 +128,30 @@
         effects += coordination.tick(nowMs)
         lookUps.update(coordination.hosts, coordination.snapshot)
         pool.expireDrains(nowMs)
+        effects += followDrainRequests()
         effects += requests.tick(nowMs, coordination.snapshot)
         effects += healthChanges()
         effects += continueStop()
         return effects
     }
 
+    private fun onHostList(event: NodeEvent.HostListRead): List<NodeEffect> {
+        val byState = event.entries.groupBy({ it.state }, { it.host })
+        val live = byState[HostListState.LIVE].orEmpty().toSet()
+        val leaving = byState[HostListState.LEAVING].orEmpty().toSet()
+        pool.hostListRead(nowMs, live, leaving)
+        return coordination.onHostList(nowMs, event) + healthChanges()
+    }
+
+    private fun followDrainRequests(): List<NodeEffect> {
+        val names = coordination.drainRequests
+        if (names == drainRequests) return emptyList()
+        drainRequests = names
+        pool.drainsRequested(nowMs, names)
+        val isOwnDrain = settings.description.host.value in names && !stop.isStarted
+        return if (isOwnDrain) onStop() else emptyList()
+    }
+
     private fun onStop(): List<NodeEffect> {
         stop.start(nowMs)
         return coordination.leave(nowMs) + log(DecisionKind.DRAIN, "this host was asked to stop")
--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/DrainSource.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/DrainSource.kt
@@ -10,4 +10,7 @@
 
     /** The platform's lagging list of hosts. */
     HOST_LIST,
+
+    /** An operator's request. */
+    OPERATOR,
 }
--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/WorkerPool.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/WorkerPool.kt
@@ -119,6 +119,18 @@
         }
     }
 
+    /** Takes the operators' drain requests into account; [names] are those of workers, of their hosts or of upstreams. */
+    fun drainsRequested(
+        nowMs: Long,
+        names: Set<String>,
+    ) {
+        for (state in states.values) {
+            val worker = state.worker
+            val isRequested = worker.id.value in names || worker.host.value in names || worker.upstream.value in names
+            setDrain(nowMs, state, DrainSource.OPERATOR, isRequested)
+        }
+    }
+
     /** Ends drains that only an old answer of the worker speaks for; call it at each tick. */
     fun expireDrains(nowMs: Long) {
         for (state in states.values) {
