Let slots of the first roster count at once

Cause: every host of a new fleet had to wait the longest request (10 s) for its first slot, although nobody had any slot before the first epoch. Ruled out: the same for hosts that join later; requests of the earlier holder may still run. Change: gains wait only from the second epoch on. Conclusion: a fleet that starts together serves as soon as it has standing.

--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/Fleet.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/Fleet.kt
@@ -72,6 +72,13 @@
         return min(before, now)
     }
 
+    /**
+     * Returns from when units gained by the present roster count, if what others began by them takes up to [tailMs] to end.
+     *
+     * Nobody had any units before the first epoch, so that its members need not wait.
+     */
+    fun gainAtMs(tailMs: Long): Long = if (standing.roster?.epoch == FIRST_EPOCH) rosterSeenAtMs else rosterSeenAtMs + tailMs
+
     /** Returns the home hosts of [spec] under the present roster. */
     fun homes(spec: LimitSpec): List<HostId> =
         standing.roster
@@ -98,6 +105,10 @@
             else -> RosterStep.BREAK
         }
     }
+
+    private companion object {
+        const val FIRST_EPOCH = 1L
+    }
 }
 
 /** How one roster follows another in a host's view. */
--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/ShareLedger.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/ShareLedger.kt
@@ -253,7 +253,7 @@
     ) {
         state.homes = fleet.homes(state.spec)
         state.askedUnits = 0
-        val gainAtMs = if (state.meter.tailMs == 0L) nowMs else fleet.rosterSeenAtMs + state.meter.tailMs
+        val gainAtMs = fleet.gainAtMs(state.meter.tailMs)
         state.anchor.moveTo(nowMs, if (state.isActive) fleet.anchorTarget(state.spec) else 0, gainAtMs)
         state.resize(nowMs)
     }
