--- a/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/OperatorRoutes.kt
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/OperatorRoutes.kt
@@ -47,9 +47,11 @@
         "/v1/status" bind Method.GET to { loop.answer { node, nowMs -> json(statusJson(node.status(nowMs))) } },
         "/metrics" bind Method.GET to { metricsText?.let { Response(Status.OK).body(it()) } ?: Response(Status.NOT_FOUND) },
         "/healthz" bind Method.GET to { healthy(clock.nowMs() - loop.lastTickMs < HANG_MS) },
-        "/readyz" bind Method.GET to { loop.answer { node, nowMs -> healthy(node.status(nowMs).lifecycle == Lifecycle.LIVE) } },
+        "/readyz" bind Method.GET to { loop.answer { node, nowMs -> healthy(node.status(nowMs).isReady()) } },
     )
 
+private fun NodeStatus.isReady(): Boolean = lifecycle == Lifecycle.LIVE && hasStanding && servesKeys
+
 private fun lookUp(
     loop: DecisionLoop,
     request: Request,
@@ -112,6 +114,7 @@
         put("configurationRevision", status.configurationRevision)
         put("rosterEpoch", status.rosterEpoch)
         put("hasStanding", status.hasStanding)
+        put("servesKeys", status.servesKeys)
         put("inFlightRequests", status.inFlightRequests)
         put("queuedRequests", status.queuedRequests)
         putJsonArray("shares") {
--- a/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/metrics/DaemonMetrics.kt
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/metrics/DaemonMetrics.kt
@@ -97,6 +97,7 @@
         set("kumquatmill.configuration.revision", status.configurationRevision)
         set("kumquatmill.roster.epoch", status.rosterEpoch)
         set("kumquatmill.standing", if (status.hasStanding) 1 else 0)
+        set("kumquatmill.serves.keys", if (status.servesKeys) 1 else 0)
         status.shares.forEach { share ->
             val part = if (share.totalUnits == 0L) 0.0 else share.units.toDouble() / share.totalUnits
             set("kumquatmill.share", part, Tag.of("limit", share.limit))
--- a/kumquatmill-daemon/src/test/kotlin/io/kumquatmill/daemon/RelayNode.kt
+++ b/kumquatmill-daemon/src/test/kotlin/io/kumquatmill/daemon/RelayNode.kt
@@ -46,7 +46,7 @@
     ): LookUpAnswer = LookUpAnswer.Found(listOf(EntryHost(HostId("h1"), RegionId("west"), HostAddress("127.0.0.1", 1))), emptyList(), 5_000)
 
     override fun status(nowMs: Long): NodeStatus =
-        NodeStatus(HostId("h1"), Incarnation(1), Lifecycle.LIVE, 1, 1, true, open.size, 0, emptyList())
+        NodeStatus(HostId("h1"), Incarnation(1), Lifecycle.LIVE, 1, 1, true, true, open.size, 0, emptyList())
 
     private fun decide(event: NodeEvent): List<NodeEffect> =
         when (event) {
