--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/BorrowerBook.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/BorrowerBook.kt
@@ -1,7 +1,6 @@
 package io.kumquatmill.limits.ledger
 
 import io.kumquatmill.common.id.HostId
-import io.kumquatmill.common.id.Incarnation
 import kotlin.math.max
 import kotlin.math.min
 
@@ -11,6 +10,7 @@
     private val settings: LedgerSettings,
     private val states: Map<LimitId, LimitState>,
     private val safeguards: Safeguards,
+    private val onChange: (ShareChange) -> Unit,
 ) {
     private val pairs = sortedMapOf<HostId, LenderPair>()
     private val needs = sortedMapOf<HostId, MutableList<LoanNeed>>()
@@ -108,7 +108,8 @@
 
     /** Renews the loans of all lenders whose turn it is. */
     fun renew(nowMs: Long) {
-        pairs.values.filter { nowMs - it.renewedAtMs >= settings.renewIntervalMs }.forEach { pair ->
+        val intervalMs = renewIntervalMs()
+        pairs.values.filter { nowMs - it.renewedAtMs >= intervalMs }.forEach { pair ->
             val held = heldLoans(nowMs, pair)
             if (held.isEmpty() && pair.askedAtMs <= pair.renewedAtMs) return@forEach
             val digest = LoanDigest()
@@ -132,6 +133,12 @@
         return sends
     }
 
+    private fun renewIntervalMs(): Long {
+        val lenders = pairs.values.count { it.limits.isNotEmpty() }
+        val stretchedMs = settings.renewIntervalMs * lenders / settings.promptLenders
+        return stretchedMs.coerceIn(settings.renewIntervalMs, max(settings.renewIntervalMs, settings.maxRenewIntervalMs))
+    }
+
     private fun requestMessage(
         nowMs: Long,
         host: HostId,
@@ -197,6 +204,7 @@
         state.settle(nowMs, fleet.standing.validUntilMs)
         val loan = state.borrowed.getOrCreate(from)
         if (terms.version <= loan.version && safeguards.checkVersions) return
+        if (terms.units != loan.units) onChange(ShareChange(ShareChangeKind.BORROWED, state.id, from, terms.units))
         loan.version = terms.version
         loan.units = terms.units
         loan.validUntilMs = validUntilMs
@@ -221,6 +229,7 @@
         loan.units -= given
         state.borrowed.refresh()
         state.resize(nowMs)
+        onChange(ShareChange(ShareChangeKind.RETURNED, state.id, loan.lender, loan.units))
         returns.getOrPut(loan.lender) { mutableListOf() } += ReturnedLoan(state.id, loan.version, loan.units, microTokens(tokens))
     }
 
@@ -271,33 +280,3 @@
         const val REPEATS_TO_ALL = 2
     }
 }
-
-/** A question to a lender: when it was sent, and the position of that moment in the borrower's order of events. */
-internal data class SentNonce(
-    val nonce: Long,
-    val sentAtMs: Long,
-    val sequence: Long,
-)
-
-/** What a borrower knows of one lender. */
-internal class LenderPair(
-    val host: HostId,
-    val incarnation: Incarnation,
-) {
-    val limits = sortedSetOf<LimitId>()
-    var renewedAtMs: Long = Long.MIN_VALUE / 2
-
-    /** Time of the last request; a renewal after it finds out about a lost grant. */
-    var askedAtMs: Long = Long.MIN_VALUE / 2
-    private val sent = ArrayDeque<SentNonce>()
-
-    fun note(
-        nonce: SentNonce,
-        retentionMs: Long,
-    ) {
-        sent.removeAll { nonce.sentAtMs - it.sentAtMs > retentionMs }
-        sent += nonce
-    }
-
-    fun sentNonce(nonce: Long): SentNonce? = sent.find { it.nonce == nonce }
-}
--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LenderBook.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LenderBook.kt
@@ -9,6 +9,7 @@
     private val fleet: Fleet,
     private val settings: LedgerSettings,
     private val states: Map<LimitId, LimitState>,
+    private val onChange: (ShareChange) -> Unit,
 ) {
     private val pairs = sortedMapOf<HostId, BorrowerPair>()
     private val terms = sortedMapOf<HostId, MutableList<LoanTerms>>()
@@ -27,7 +28,7 @@
     ): List<LimitState> {
         if (!pairOf(from).note(nowMs, request.nonce)) return emptyList()
         val known = request.needs.mapNotNull { need -> states[need.limit]?.let { it to need } }
-        known.forEach { (state, need) -> state.lent.wish(from, Wish(need.units, nowMs)) }
+        known.forEach { (state, need) -> state.lent.recordNeed(from, RecordedNeed(need.units, nowMs)) }
         return known.map { (state, _) -> state }
     }
 
@@ -62,7 +63,7 @@
         message.returns.mapNotNull { returned ->
             val state = states[returned.limit]
             val loan = state?.lent?.get(from)
-            if (loan != null) takeBack(nowMs, state, loan, returned)
+            if (loan != null) takeBack(nowMs, state, from.host, loan, returned)
             state
         }
 
@@ -72,7 +73,7 @@
         state: LimitState,
     ) {
         if (!state.isActive || !fleet.hasStanding(nowMs)) return
-        if (state.lent.isEmpty() && state.lent.wishesByBorrower.isEmpty()) return
+        if (state.lent.isEmpty() && state.lent.needsByBorrower.isEmpty()) return
         val targets = targetsOf(nowMs, state)
         val kept = if (isLeaving) 0 else targets[fleet.self] ?: 0
         if (isAnyShort(nowMs, state, targets)) {
@@ -80,7 +81,7 @@
                 .filterKeys { fleet.isMember(it) }
                 .forEach { (borrower, loan) -> recallExcess(nowMs, state, borrower, loan, targets[borrower.host] ?: 0) }
         }
-        wishingMembers(state)
+        membersInNeed(state)
             .sortedBy { borrower -> state.lent[borrower]?.liveUnits(nowMs) ?: 0 }
             .forEach { borrower -> grantMissing(nowMs, state, borrower, targets[borrower.host] ?: 0, kept) }
     }
@@ -93,7 +94,7 @@
     ): Boolean {
         val ownTarget = if (isLeaving) 0 else targets[fleet.self] ?: 0
         if (ownTarget - state.ownUnits >= stepOf(ownTarget)) return true
-        return wishingMembers(state).any { borrower ->
+        return membersInNeed(state).any { borrower ->
             val target = targets[borrower.host] ?: 0
             target - (state.lent[borrower]?.liveUnits(nowMs) ?: 0) >= stepOf(target)
         }
@@ -128,10 +129,10 @@
     ): Map<HostId, Long> {
         val own = Party(fleet.self, if (isLeaving) 0 else state.meter.neededUnits(nowMs))
         val others =
-            wishingMembers(state).map {
+            membersInNeed(state).map {
                 Party(
                     it.host,
-                    state.lent.wishesByBorrower
+                    state.lent.needsByBorrower
                         .getValue(it)
                         .neededUnits,
                 )
@@ -140,8 +141,8 @@
         return fairTargets(pool, others + own)
     }
 
-    private fun wishingMembers(state: LimitState): List<Borrower> =
-        state.lent.wishesByBorrower.keys
+    private fun membersInNeed(state: LimitState): List<Borrower> =
+        state.lent.needsByBorrower.keys
             .filter { fleet.isMember(it) }
 
     private fun stepOf(target: Long): Long = max(1, target / SMALLEST_STEP_DIVISOR)
@@ -160,6 +161,7 @@
         if (loan.recalledTo == target && nowMs - loan.recalledAtMs < settings.renewIntervalMs) return
         loan.recalledTo = target
         loan.recalledAtMs = nowMs
+        onChange(ShareChange(ShareChangeKind.RECALLED, state.id, borrower.host, target))
         recalls.getOrPut(borrower.host) { mutableListOf() } += RecalledLoan(state.id, loan.latest.version, target)
     }
 
@@ -187,7 +189,7 @@
         borrower: Borrower,
         loan: LentLoan,
     ) {
-        if (borrower !in state.lent.wishesByBorrower) return
+        if (borrower !in state.lent.needsByBorrower) return
         val bound = loan.recalledTo.takeIf { state.meter.tailMs == 0L } ?: Long.MAX_VALUE
         grant(nowMs, state, borrower, min(loan.liveUnits(nowMs), bound))
     }
@@ -207,12 +209,14 @@
         state.lent.refresh(nowMs)
         state.resize(nowMs)
         pairOf(borrower).limits += state.id
+        if (taken > 0) onChange(ShareChange(ShareChangeKind.LENT, state.id, borrower.host, units))
         terms.getOrPut(borrower.host) { mutableListOf() } += LoanTerms(state.id, promise.version, units, microTokens(tokens))
     }
 
     private fun takeBack(
         nowMs: Long,
         state: LimitState,
+        from: HostId,
         loan: LentLoan,
         returned: ReturnedLoan,
     ) {
@@ -220,7 +224,9 @@
         val freed = loan.reduce(returned.version, returned.keptUnits)
         state.lent.refresh(nowMs)
         state.resize(nowMs)
-        if (freed > 0) state.meter.deposit(nowMs, returned.microTokens / MICRO)
+        if (freed == 0L) return
+        state.meter.deposit(nowMs, returned.microTokens / MICRO)
+        onChange(ShareChange(ShareChangeKind.TAKEN_BACK, state.id, from, loan.latest.units))
     }
 
     private fun liveLoans(
@@ -258,29 +264,3 @@
         const val SMALLEST_STEP_DIVISOR = 8
     }
 }
-
-/** What a lender knows of one borrower. */
-internal class BorrowerPair(
-    val borrower: Borrower,
-) {
-    val limits = sortedSetOf<LimitId>()
-
-    /** Highest nonce that the borrower has sent. */
-    var lastNonce: Long = 0
-        private set
-
-    /** Time at which [lastNonce] came. */
-    var notedAtMs: Long = Long.MIN_VALUE
-        private set
-
-    /** Notes [nonce]; returns false if the message was overtaken or is repeated. */
-    fun note(
-        nowMs: Long,
-        nonce: Long,
-    ): Boolean {
-        if (nonce <= lastNonce) return false
-        lastNonce = nonce
-        notedAtMs = nowMs
-        return true
-    }
-}
