--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/capacity/FleetCost.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/capacity/FleetCost.kt
@@ -79,7 +79,7 @@
         fleet.restart(hosts - 1)
         fleet.run(RESTART_MS)
         membership.add(
-            "bytes of a restart, above steady",
+            "bytes in 20 s with a restart",
             "bytes a host",
             hosts,
             (fleet.traffic.storeBytes() + 2.0 * fleet.traffic.peerBytes) / hosts,
@@ -109,7 +109,12 @@
         fleet.reset()
         fleet.store.isDown = false
         fleet.run(RETURN_MS)
-        membership.add("bytes of the return", "bytes a host", hosts, (fleet.traffic.storeBytes() + 2.0 * fleet.traffic.peerBytes) / hosts)
+        membership.add(
+            "bytes in the 20 s of a return",
+            "bytes a host",
+            hosts,
+            (fleet.traffic.storeBytes() + 2.0 * fleet.traffic.peerBytes) / hosts,
+        )
         addStore(fleet, hosts, "return after an outage")
     }
 
--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/measure/RunMeasures.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/measure/RunMeasures.kt
@@ -1,11 +1,9 @@
 package io.kumquatmill.bench.measure
 
-import io.kumquatmill.bench.policy.HostBucket
 import io.kumquatmill.common.outcome.Outcome
 import io.kumquatmill.scenario.history.Observation
 import io.kumquatmill.scenario.script.ScenarioResult
 import io.kumquatmill.scenario.script.latencyMs
-import io.kumquatmill.scenario.virtual.CallEnd
 import kotlinx.serialization.Serializable
 
 /** What is measured of one run of an experiment under one policy. */
@@ -22,6 +20,7 @@
     val callsInsideRate: Int,
     val wrongfulRefusals: Int,
     val lastWrongfulMs: Long?,
+    val leastRateUsed: Double,
     val unknownOutcomes: Int,
     val drainMs: Long?,
     val leastFreeSlots: Map<String, Int>,
@@ -32,19 +31,12 @@
         get() = if (callsInsideRate == 0) 0.0 else wrongfulRefusals.toDouble() / callsInsideRate
 }
 
-/** Rate and burst of a workspace, against which its calls are judged. */
-internal data class AllowedRate(
-    val ratePerS: Double,
-    val burst: Int,
-)
-
 /** Returns the measures of this run under [policy], with the rates in [allowed]. */
 internal fun ScenarioResult.measures(
     policy: String,
     allowed: Map<String, AllowedRate>,
 ): RunMeasures {
-    val inside = callsInsideRate(allowed)
-    val wrongful = inside.filter { it.outcome is Outcome.NotRun }
+    val use = allowed.map { (workspace, rate) -> rateUse(calls.filter { it.load.workspace == workspace }, rate, warmUpMs) }
     return RunMeasures(
         experiment = name,
         policy = policy,
@@ -54,9 +46,10 @@
         p99Ms = calls.latencyMs(HIGH),
         p999Ms = calls.latencyMs(HIGHEST),
         worstToMedianP99 = worstToMedianP99(allowed.keys),
-        callsInsideRate = inside.size,
-        wrongfulRefusals = wrongful.size,
-        lastWrongfulMs = wrongful.maxOfOrNull { it.startedAtMs - warmUpMs },
+        callsInsideRate = use.sumOf { it.callsInsideRate },
+        wrongfulRefusals = use.sumOf { it.wrongfulRefusals },
+        lastWrongfulMs = use.mapNotNull { it.lastWrongfulMs }.maxOrNull(),
+        leastRateUsed = use.minOf { it.usedPart },
         unknownOutcomes = calls.count { it.outcome == null || it.outcome is Outcome.Unknown },
         drainMs = drainMs(),
         leastFreeSlots = leastFreeSlots(history),
@@ -64,17 +57,6 @@
     )
 }
 
-/** Returns the calls that a full bucket of the workspace's rate and burst lets through, in the order of their start. */
-internal fun ScenarioResult.callsInsideRate(allowed: Map<String, AllowedRate>): List<CallEnd> =
-    calls
-        .filter { it.load.workspace in allowed }
-        .groupBy { checkNotNull(it.load.workspace) }
-        .flatMap { (workspace, all) ->
-            val rate = allowed.getValue(workspace)
-            val bucket = HostBucket(rate.ratePerS, rate.burst.toDouble())
-            all.sortedBy { it.startedAtMs }.filter { bucket.tryTake(it.startedAtMs) }
-        }
-
 private fun ScenarioResult.worstToMedianP99(workspaces: Set<String>): Double {
     val p99s =
         calls
