--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LenderBook.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/LenderBook.kt
@@ -9,6 +9,7 @@
     private val fleet: Fleet,
     private val settings: LedgerSettings,
     private val states: Map<LimitId, LimitState>,
+    private val onChange: (ShareChange) -> Unit,
 ) {
     private val pairs = sortedMapOf<HostId, BorrowerPair>()
     private val terms = sortedMapOf<HostId, MutableList<LoanTerms>>()
@@ -27,7 +28,7 @@
     ): List<LimitState> {
         if (!pairOf(from).note(nowMs, request.nonce)) return emptyList()
         val known = request.needs.mapNotNull { need -> states[need.limit]?.let { it to need } }
-        known.forEach { (state, need) -> state.lent.wish(from, Wish(need.units, nowMs)) }
+        known.forEach { (state, need) -> state.lent.recordNeed(from, RecordedNeed(need.units, nowMs)) }
         return known.map { (state, _) -> state }
     }
 
@@ -62,7 +63,7 @@
         message.returns.mapNotNull { returned ->
             val state = states[returned.limit]
             val loan = state?.lent?.get(from)
-            if (loan != null) takeBack(nowMs, state, loan, returned)
+            if (loan != null) takeBack(nowMs, state, from.host, loan, returned)
             state
         }
 
@@ -72,18 +73,17 @@
         state: LimitState,
     ) {
         if (!state.isActive || !fleet.hasStanding(nowMs)) return
-        if (state.lent.isEmpty() && state.lent.wishesByBorrower.isEmpty()) return
+        if (state.lent.isEmpty() && state.lent.needsByBorrower.isEmpty()) return
         val targets = targetsOf(nowMs, state)
-        val step = max(1, state.anchor.units / SMALLEST_STEP_DIVISOR)
         val kept = if (isLeaving) 0 else targets[fleet.self] ?: 0
-        if (isAnyShort(nowMs, state, targets, step)) {
+        if (isAnyShort(nowMs, state, targets)) {
             state.lent.byBorrower
                 .filterKeys { fleet.isMember(it) }
-                .forEach { (borrower, loan) -> recallExcess(nowMs, state, borrower, loan, targets[borrower.host] ?: 0, step) }
+                .forEach { (borrower, loan) -> recallExcess(nowMs, state, borrower, loan, targets[borrower.host] ?: 0) }
         }
-        wishingMembers(state)
+        membersInNeed(state)
             .sortedBy { borrower -> state.lent[borrower]?.liveUnits(nowMs) ?: 0 }
-            .forEach { borrower -> grantMissing(nowMs, state, borrower, targets[borrower.host] ?: 0, kept, step) }
+            .forEach { borrower -> grantMissing(nowMs, state, borrower, targets[borrower.host] ?: 0, kept) }
     }
 
     /** Returns whether a host has clearly less than its fair part, so that others have to give units back. */
@@ -91,12 +91,12 @@
         nowMs: Long,
         state: LimitState,
         targets: Map<HostId, Long>,
-        step: Long,
     ): Boolean {
         val ownTarget = if (isLeaving) 0 else targets[fleet.self] ?: 0
-        if (ownTarget - state.ownUnits >= step) return true
-        return wishingMembers(state).any { borrower ->
-            (targets[borrower.host] ?: 0) - (state.lent[borrower]?.liveUnits(nowMs) ?: 0) >= step
+        if (ownTarget - state.ownUnits >= stepOf(ownTarget)) return true
+        return membersInNeed(state).any { borrower ->
+            val target = targets[borrower.host] ?: 0
+            target - (state.lent[borrower]?.liveUnits(nowMs) ?: 0) >= stepOf(target)
         }
     }
 
@@ -129,10 +129,10 @@
     ): Map<HostId, Long> {
         val own = Party(fleet.self, if (isLeaving) 0 else state.meter.neededUnits(nowMs))
         val others =
-            wishingMembers(state).map {
+            membersInNeed(state).map {
                 Party(
                     it.host,
-                    state.lent.wishesByBorrower
+                    state.lent.needsByBorrower
                         .getValue(it)
                         .neededUnits,
                 )
@@ -141,25 +141,27 @@
         return fairTargets(pool, others + own)
     }
 
-    private fun wishingMembers(state: LimitState): List<Borrower> =
-        state.lent.wishesByBorrower.keys
+    private fun membersInNeed(state: LimitState): List<Borrower> =
+        state.lent.needsByBorrower.keys
             .filter { fleet.isMember(it) }
 
+    private fun stepOf(target: Long): Long = max(1, target / SMALLEST_STEP_DIVISOR)
+
     private fun recallExcess(
         nowMs: Long,
         state: LimitState,
         borrower: Borrower,
         loan: LentLoan,
         target: Long,
-        step: Long,
     ) {
-        if (loan.liveUnits(nowMs) - target < step) {
+        if (loan.liveUnits(nowMs) <= target) {
             loan.recalledTo = null
             return
         }
         if (loan.recalledTo == target && nowMs - loan.recalledAtMs < settings.renewIntervalMs) return
         loan.recalledTo = target
         loan.recalledAtMs = nowMs
+        onChange(ShareChange(ShareChangeKind.RECALLED, state.id, borrower.host, target))
         recalls.getOrPut(borrower.host) { mutableListOf() } += RecalledLoan(state.id, loan.latest.version, target)
     }
 
@@ -169,7 +171,6 @@
         borrower: Borrower,
         target: Long,
         kept: Long,
-        step: Long,
     ) {
         val pair = pairs[borrower.host] ?: return
         if (nowMs - pair.notedAtMs > settings.loanMs / 2 || durationMs(nowMs) <= 0) return
@@ -179,7 +180,7 @@
         val bound = loan?.committedUnits(nowMs) ?: 0
         val free = min(state.ownUnits - kept, state.meter.movableUnits()).coerceAtLeast(0)
         val units = min(target, bound + free)
-        if (units - held >= step || (units > held && units == target)) grant(nowMs, state, borrower, units)
+        if (units - held >= stepOf(target) || (units > held && units == target)) grant(nowMs, state, borrower, units)
     }
 
     private fun restate(
@@ -188,7 +189,7 @@
         borrower: Borrower,
         loan: LentLoan,
     ) {
-        if (borrower !in state.lent.wishesByBorrower) return
+        if (borrower !in state.lent.needsByBorrower) return
         val bound = loan.recalledTo.takeIf { state.meter.tailMs == 0L } ?: Long.MAX_VALUE
         grant(nowMs, state, borrower, min(loan.liveUnits(nowMs), bound))
     }
@@ -208,12 +209,14 @@
         state.lent.refresh(nowMs)
         state.resize(nowMs)
         pairOf(borrower).limits += state.id
+        if (taken > 0) onChange(ShareChange(ShareChangeKind.LENT, state.id, borrower.host, units))
         terms.getOrPut(borrower.host) { mutableListOf() } += LoanTerms(state.id, promise.version, units, microTokens(tokens))
     }
 
     private fun takeBack(
         nowMs: Long,
         state: LimitState,
+        from: HostId,
         loan: LentLoan,
         returned: ReturnedLoan,
     ) {
@@ -221,7 +224,9 @@
         val freed = loan.reduce(returned.version, returned.keptUnits)
         state.lent.refresh(nowMs)
         state.resize(nowMs)
-        if (freed > 0) state.meter.deposit(nowMs, returned.microTokens / MICRO)
+        if (freed == 0L) return
+        state.meter.deposit(nowMs, returned.microTokens / MICRO)
+        onChange(ShareChange(ShareChangeKind.TAKEN_BACK, state.id, from, loan.latest.units))
     }
 
     private fun liveLoans(
@@ -255,33 +260,7 @@
     }
 
     private companion object {
-        /** Part of the own units below which a difference is not worth a message. */
-        const val SMALLEST_STEP_DIVISOR = 10
-    }
-}
-
-/** What a lender knows of one borrower. */
-internal class BorrowerPair(
-    val borrower: Borrower,
-) {
-    val limits = sortedSetOf<LimitId>()
-
-    /** Highest nonce that the borrower has sent. */
-    var lastNonce: Long = 0
-        private set
-
-    /** Time at which [lastNonce] came. */
-    var notedAtMs: Long = Long.MIN_VALUE
-        private set
-
-    /** Notes [nonce]; returns false if the message was overtaken or is repeated. */
-    fun note(
-        nowMs: Long,
-        nonce: Long,
-    ): Boolean {
-        if (nonce <= lastNonce) return false
-        lastNonce = nonce
-        notedAtMs = nowMs
-        return true
+        /** Part of the fair units below which a difference is not worth a message. */
+        const val SMALLEST_STEP_DIVISOR = 8
     }
 }
