--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/capacity/FleetCost.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/capacity/FleetCost.kt
@@ -50,7 +50,7 @@
         val traffic = fleet.traffic
         membership.add("messages", "1/s a host", hosts, traffic.messagesOf(Traffic.MEMBERSHIP) / hostSeconds)
         membership.add("peer bytes sent and received", "bytes/s a host", hosts, 2 * traffic.peerBytes / hostSeconds)
-        membership.add("peer bytes, the busiest host", "bytes/s", hosts, traffic.busiestHostBytes / STEADY_MS * MS_PER_S)
+        membership.add("peer bytes, the busiest host", "bytes/s", hosts, traffic.busiestHostBytes * MS_PER_S / STEADY_MS)
         membership.add("store bytes", "bytes/s a host", hosts, traffic.storeBytes() / hostSeconds)
         tick.add("tick of an idle host", "us", hosts, fleet.tickNs / NS_PER_US / (hostSeconds * TICKS_PER_S))
         tick.add("core used, steady", "% of a core", hosts, fleet.corePercent(hostSeconds))
@@ -102,7 +102,7 @@
             "peer bytes in a store outage, the busiest host",
             "bytes/s",
             hosts,
-            fleet.traffic.busiestHostBytes / STEADY_MS * MS_PER_S,
+            fleet.traffic.busiestHostBytes * MS_PER_S / STEADY_MS,
         )
         membership.add("hosts without standing in a store outage", "hosts", hosts, (hosts - fleet.standingHosts).toDouble())
         addStore(fleet, hosts, "outage")
--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/measure/RateUse.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/measure/RateUse.kt
@@ -12,10 +12,15 @@
 
 /** How much of its rate a workspace could use. */
 internal data class RateUse(
+    val calls: Int,
     val callsInsideRate: Int,
     val wrongfulRefusals: Int,
     val lastWrongfulMs: Long?,
 ) {
+    /** Whether all calls were inside the rate. */
+    val isInsideRate: Boolean
+        get() = calls == callsInsideRate
+
     /** Part of the calls inside the rate that were not refused, from 0 to 1. */
     val usedPart: Double
         get() = if (callsInsideRate == 0) 1.0 else 1 - wrongfulRefusals.toDouble() / callsInsideRate
@@ -43,7 +48,7 @@
             .mapValues { (window, all) -> all.size - (passedByWindow[window]?.size ?: 0) }
             .filterValues { it > 0 }
     val lastMs = shortfalls.keys.maxOrNull()?.let { window -> insideByWindow.getValue(window).lastRefusedMs() }
-    return RateUse(inside.size, shortfalls.values.sum(), lastMs?.minus(startMs))
+    return RateUse(calls.size, inside.size, shortfalls.values.sum(), lastMs?.minus(startMs))
 }
 
 private fun CallEnd.window(): Long = startedAtMs / WINDOW_MS
--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/policy/NaiveEntryNode.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/policy/NaiveEntryNode.kt
@@ -84,6 +84,7 @@
             configurationRevision = register.revision,
             rosterEpoch = 0,
             hasStanding = true,
+            servesKeys = true,
             inFlightRequests = open.size,
             queuedRequests = 0,
             shares = emptyList(),
