--- a/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/Coordination.kt
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/Coordination.kt
@@ -9,6 +9,7 @@
 import io.kumquatmill.configuration.sync.ConfigurationOutput
 import io.kumquatmill.configuration.sync.ConfigurationSync
 import io.kumquatmill.limits.ledger.LedgerSettings
+import io.kumquatmill.limits.ledger.ShareChange
 import io.kumquatmill.limits.ledger.ShareLedger
 import io.kumquatmill.membership.MembershipAgent
 import io.kumquatmill.membership.MembershipLifecycle
@@ -35,10 +36,12 @@
     private val catalogue = LimitCatalogue(settings.topology)
     private val storeCalls = StoreCalls()
     private var knownHosts: List<KnownHost> = emptyList()
-    private var addresses: Map<HostId, HostAddress> = emptyMap()
+    private var addresses: Map<HostId, HostAddress> = settings.seedPeers
+    private val shareChanges = ArrayList<ShareChange>()
 
     /** This host's part of all limits. */
-    val ledger = ShareLedger(host, settings.ledgerForRequests(), catalogue.limits(snapshot = null))
+    val ledger =
+        ShareLedger(host, settings.ledgerForRequests(), catalogue.limits(snapshot = null), onChange = { shareChanges += it })
 
     /** The operators' lists in force. */
     val snapshot: ConfigurationSnapshot?
@@ -69,6 +72,7 @@
         refreshHosts(nowMs)
         ledger.onStanding(nowMs, membership.standing(nowMs))
         effects += sendAll(ledger.onTick(nowMs)) { PeerMessage.Ledger(it) }
+        effects += takeShareChanges()
         return effects
     }
 
@@ -143,9 +147,15 @@
         return effects
     }
 
+    private fun takeShareChanges(): List<NodeEffect> {
+        val lines = shareChanges.map { log(DecisionKind.SHARE, "${it.kind.wireName} ${it.units} units of ${it.limit}, peer ${it.peer}") }
+        shareChanges.clear()
+        return lines
+    }
+
     private fun refreshHosts(nowMs: Long) {
         knownHosts = membership.knownHosts(nowMs)
-        addresses = knownHosts.associate { it.member.host to it.member.peerAddress }
+        addresses = settings.seedPeers + knownHosts.associate { it.member.host to it.member.peerAddress }
     }
 
     private fun <M> sendAll(
--- a/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/NodeSettings.kt
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/NodeSettings.kt
@@ -1,5 +1,7 @@
 package io.kumquatmill.node
 
+import io.kumquatmill.common.fleet.HostAddress
+import io.kumquatmill.common.id.HostId
 import io.kumquatmill.limits.ledger.LedgerSettings
 import io.kumquatmill.membership.HostDescription
 import io.kumquatmill.membership.MembershipSettings
@@ -15,12 +17,14 @@
 /**
  * What an entry host knows of itself and its surroundings, with defaults for everything that can have one.
  *
+ * [seedPeers] are the addresses of hosts that may be asked while the store can't be reached.
  * [callerRegions] places a client address in regions, the best first; by default callers belong to the host's region.
  */
 data class NodeSettings(
     val description: HostDescription,
     val topology: Topology,
     val membership: MembershipSettings,
+    val seedPeers: Map<HostId, HostAddress> = emptyMap(),
     val ledger: LedgerSettings = LedgerSettings(),
     val health: HealthSettings = HealthSettings(),
     val selection: SelectionSettings = SelectionSettings(),
--- a/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/request/Dispatcher.kt
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/request/Dispatcher.kt
@@ -22,15 +22,12 @@
         val effects: List<NodeEffect>,
     ) : DispatchResult
 
-    /** The workspace has no token; one may be there after [retryAfterMs]. */
-    data class NoRate(
-        val retryAfterMs: Long,
-    ) : DispatchResult
+    /** The workspace has no token now. */
+    data object NoRate : DispatchResult
 
     /** No worker can take the request now. */
     data class NoWorker(
         val reason: RefusalReason,
-        val retryAfterMs: Long,
     ) : DispatchResult
 }
 
@@ -48,17 +45,20 @@
         nowMs: Long,
         request: OpenRequest,
     ): DispatchResult {
+        val isPolling = request.wasOffered
+        request.wasOffered = true
+        if (isPolling && !ledger.hasRate(nowMs, request.workspace)) return DispatchResult.NoRate
         val rate = ledger.takeRate(nowMs, request.workspace)
-        if (rate is TakeResult.Short) return DispatchResult.NoRate(rate.retryAfterMs)
+        if (rate is TakeResult.Short) return DispatchResult.NoRate
         val answerBytes = answerSizes.expectedBytes(request.state.route.id)
-        return when (val choice = choose(nowMs, request, answerBytes)) {
+        return when (val choice = choose(nowMs, request, answerBytes, isPolling)) {
             is RegionChoice.Chosen -> {
                 DispatchResult.Sent(send(nowMs, request, choice, answerBytes))
             }
 
             is RegionChoice.Refused -> {
                 ledger.returnRate(nowMs, request.workspace)
-                DispatchResult.NoWorker(choice.reason, choice.retryAfterMs)
+                DispatchResult.NoWorker(choice.reason)
             }
         }
     }
@@ -67,6 +67,7 @@
         nowMs: Long,
         request: OpenRequest,
         answerBytes: Long,
+        isRepeat: Boolean,
     ): RegionChoice {
         val query =
             RegionQuery(
@@ -74,9 +75,8 @@
                 requestBytes = request.bodyBytes,
                 answerBytes = answerBytes,
                 excluded = request.triedWorkers,
-                isRetry = request.wasOffered,
+                isRetry = isRepeat,
             )
-        request.wasOffered = true
         val grants =
             DispatchGrants(
                 trySlot = { ledger.takeSlot(nowMs, it) },
--- a/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/deployment/Deployment.kt
+++ b/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/deployment/Deployment.kt
@@ -1,5 +1,6 @@
 package io.kumquatmill.scenario.deployment
 
+import io.kumquatmill.common.fleet.HostAddress
 import io.kumquatmill.common.id.AvailabilityZoneId
 import io.kumquatmill.common.id.HostId
 import io.kumquatmill.common.id.RegionId
@@ -17,6 +18,13 @@
     /** The regions of the deployment, in the order of its hosts. */
     val regions: List<RegionId>
         get() = entryHosts.map { it.region }.distinct()
+
+    /** Returns the address at which the entry host [host] listens. */
+    fun addressOf(host: HostId): HostAddress = HostAddress("127.0.0.1", FIRST_PORT + entryHosts.indexOfFirst { it.host == host })
+
+    private companion object {
+        const val FIRST_PORT = 7_001
+    }
 }
 
 /** Name and place of an entry host. */
--- a/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/virtual/DefaultNodeFactory.kt
+++ b/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/virtual/DefaultNodeFactory.kt
@@ -29,6 +29,7 @@
                 storeRegion = deployment.storeRegion,
                 seedHosts = deployment.entryHosts.map { it.host }.toSet(),
             ),
+        seedPeers = deployment.entryHosts.associate { it.host to deployment.addressOf(it.host) },
         callerRegions = { clientIp -> listOfNotNull(regionOfClientIp[clientIp]) },
     )
 }
--- a/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/virtual/VirtualWorld.kt
+++ b/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/virtual/VirtualWorld.kt
@@ -86,7 +86,7 @@
     /** Starts the process of the host [id], anew if it ran before. */
     fun startHost(id: HostId) {
         val entry = deployment.entryHosts.first { it.host == id }
-        val address = HostAddress("127.0.0.1", FIRST_PORT + deployment.entryHosts.indexOf(entry))
+        val address = deployment.addressOf(id)
         val node = nodeFactory.create(deployment, entry, address, random.nextLong())
         val place = Place(id.value, entry.region, entry.availabilityZone)
         val host = VirtualHost(place, id, address, node, this)
@@ -164,7 +164,6 @@
         /** How far the platform's list of hosts lags behind. */
         const val HOST_LIST_LAG_MS: Long = 15_000
         private const val LIST_SNAPSHOT_INTERVAL_MS = 500L
-        private const val FIRST_PORT = 7_001
 
         private fun storePlace(deployment: Deployment): Place {
             val zone = deployment.entryHosts.first { it.region == deployment.storeRegion }.availabilityZone
