--- a/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/invariant/ConfigurationInForce.kt
+++ b/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/invariant/ConfigurationInForce.kt
@@ -33,7 +33,7 @@
     val before = highest[report.host] ?: 0
     highest[report.host] = maxOf(before, report.revision)
     if (report.revision >= before) return null
-    return Violation(NAME, report.atMs, "${report.host} went back from revision $before to ${report.revision}")
+    return Violation(NAME, report.atMs, "${report.host} serves revision ${report.revision} after $before, expected no return")
 }
 
 private fun lateHosts(
--- a/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/invariant/LeavingWorkers.kt
+++ b/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/invariant/LeavingWorkers.kt
@@ -7,7 +7,11 @@
 /** A leaving worker gets no new work after the stated time. */
 fun leavingWorkers(bounds: InvariantBounds): Invariant =
     Invariant(NAME) { history ->
-        val leavingAtMs = history.all<Observation.WorkerLeaving>().associate { it.worker to it.atMs }
+        val leavingAtMs =
+            history
+                .all<Observation.WorkerLeaving>()
+                .groupBy { it.worker }
+                .mapValues { (_, notices) -> notices.first().atMs }
         history.all<Observation.AttemptArrived>().mapNotNull { arrival ->
             val sinceMs = leavingAtMs[arrival.worker]?.let { arrival.atMs - it } ?: return@mapNotNull null
             if (sinceMs <= bounds.leavingWorkerMs) return@mapNotNull null
--- /dev/null
+++ b/kumquatmill-scenario/src/test/kotlin/io/kumquatmill/scenario/invariant/AtMostOnceTest.kt
@@ -0,0 +1,48 @@
+package io.kumquatmill.scenario.invariant
+
+import kotlin.test.Test
+
+class AtMostOnceTest {
+    @Test
+    fun `a second run on another worker breaks the promise at its start`() =
+        atMostOnce().rejects(
+            history {
+                sent(0, "r1", route = "write")
+                started(10, "r1", "w1")
+                started(30, "r1", "w2")
+            },
+            30L to "r1 ran 2 times, on [w1, w2], expected at most once",
+        )
+
+    @Test
+    fun `a second run on the same worker after the first ended breaks the promise`() =
+        atMostOnce().rejects(
+            history {
+                sent(0, "r1", route = "write")
+                started(10, "r1")
+                ended(20, "r1")
+                started(21, "r1")
+            },
+            21L to "r1 ran 2 times, on [w1, w1], expected at most once",
+        )
+
+    @Test
+    fun `one run each and attempts that did not run are within the promise`() =
+        atMostOnce() accepts
+            history {
+                sent(0, "r1", route = "write")
+                sent(0, "r2", route = "write")
+                arrived(5, "r1", "w2")
+                started(10, "r1")
+                started(10, "r2")
+            }
+
+    @Test
+    fun `a request on an idempotent route may run twice`() =
+        atMostOnce() accepts
+            history {
+                sent(0, "r1", route = "read")
+                started(10, "r1", "w1")
+                started(30, "r1", "w2")
+            }
+}
