--- a/kumquatmill-scenario/src/test/kotlin/io/kumquatmill/scenario/invariant/PlannedStopsTest.kt
+++ b/kumquatmill-scenario/src/test/kotlin/io/kumquatmill/scenario/invariant/PlannedStopsTest.kt
@@ -98,6 +98,16 @@
                 disconnected(510, "r2")
             }
 
+    @Test
+    fun `a cut before the stop is not due to it when the stop ends in order`() =
+        plannedStops() accepts
+            history {
+                sent(0, "r1")
+                disconnected(50, "r1")
+                hostStopping(100)
+                hostEnded(200, wasKilled = false)
+            }
+
     @Test
     fun `cuts on other hosts are not due to the stop`() =
         plannedStops() accepts
