Move traffic off a region whose workers refuse connections; hand shares over at once

Cause: a region in which all workers died kept two thirds of them in service, because at most a third may be ejected, and no request moved elsewhere. A host that stopped marked its shares for review but sent nothing before its standing ended, so the others waited for its loans to lapse. Ruled out: a higher part for ejections, which would let slow workers empty a region. Change: a worker that refuses connections is ejected at once and outside the part; handing over reviews all limits at once.

--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/ShareLedger.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/ledger/ShareLedger.kt
@@ -104,7 +104,8 @@
     fun handOver(nowMs: Long): List<LedgerSend> {
         lender.isLeaving = true
         borrower.isLeaving = true
-        reviewAll(nowMs)
+        dirty += states.keys
+        reviewDirty(nowMs)
         return drain(nowMs)
     }
 
--- a/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/request/AttemptBooks.kt
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/request/AttemptBooks.kt
@@ -92,7 +92,8 @@
     ): AttemptSample =
         when (result) {
             is AttemptResult.Answered -> answeredSample(nowMs, attempt, result)
-            is AttemptResult.NotSent, is AttemptResult.Unknown -> AttemptSample.Failed
+            is AttemptResult.NotSent -> AttemptSample.Unreachable
+            is AttemptResult.Unknown -> AttemptSample.Failed
             is AttemptResult.Shed -> AttemptSample.Neutral
         }
 
--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/AttemptSample.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/AttemptSample.kt
@@ -17,7 +17,10 @@
         val waitedMs: Long,
     ) : AttemptSample
 
-    /** The worker was not reached, did not answer, or answered with an error of its own. */
+    /** The worker refused the connection: its process is not there, and it is ejected at once. */
+    data object Unreachable : AttemptSample
+
+    /** The worker did not answer, or answered with an error of its own. */
     data object Failed : AttemptSample
 
     /** The attempt says nothing of the worker's health: it was cancelled or shed. */
--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/HealthChange.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/HealthChange.kt
@@ -33,6 +33,7 @@
 /** Why a worker was ejected. */
 enum class EjectionCause {
     CONSECUTIVE_FAILURES,
+    UNREACHABLE,
     SLOW,
     PROBE_FAILED,
 }
--- a/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/WorkerPool.kt
+++ b/kumquatmill-routing/src/main/kotlin/io/kumquatmill/routing/health/WorkerPool.kt
@@ -72,6 +72,7 @@
             is AttemptSample.Served -> recordServed(nowMs, state, sample.latencyMs)
             is AttemptSample.TimedOut -> recordTimeout(nowMs, state, sample.waitedMs)
             AttemptSample.Failed -> recordFailure(nowMs, state)
+            AttemptSample.Unreachable -> recordUnreachable(nowMs, state)
             AttemptSample.Neutral -> Unit
         }
         ejectSlowWorkers(nowMs, groupOf(state))
@@ -209,6 +210,16 @@
         recordFailure(nowMs, state)
     }
 
+    /** Ejects a worker whose process is not there; it is no use to keep a part of such workers in service. */
+    private fun recordUnreachable(
+        nowMs: Long,
+        state: WorkerState,
+    ) {
+        state.consecutiveFailures += 1
+        if (state.isEjected && nowMs < state.ejectedUntilMs) return
+        eject(nowMs, state, EjectionCause.UNREACHABLE)
+    }
+
     private fun recordFailure(
         nowMs: Long,
         state: WorkerState,
--- a/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/health/WorkerPoolTest.kt
+++ b/kumquatmill-routing/src/test/kotlin/io/kumquatmill/routing/health/WorkerPoolTest.kt
@@ -42,6 +42,13 @@
         assertEquals(3, workers.count { failing.isEjected(it.id) }, "ejected workers of 9 that all fail")
     }
 
+    @Test
+    fun `workers that refuse connections are all ejected at once`() {
+        workers.forEach { pool.attemptEnded(0, it.id, AttemptSample.Unreachable) }
+        assertEquals(workers.map { it.id }, workers.map { it.id }.filter(pool::isEjected))
+        assertEquals(WorkerChoice.NoWorker, selector.select(0, query) { true })
+    }
+
     @Test
     fun `the time of an ejection grows while probes fail`() {
         val worker = workers[0].id
