--- a/kumquatmill-wire/src/main/kotlin/io/kumquatmill/wire/PeerLink.kt
+++ b/kumquatmill-wire/src/main/kotlin/io/kumquatmill/wire/PeerLink.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.ktor.network.selector.SelectorManager
 import io.kumquatmill.common.fleet.HostAddress
 import io.kumquatmill.common.time.MonotonicClock
 import io.kumquatmill.node.message.PeerEnvelope
@@ -16,7 +17,6 @@
 import kotlinx.coroutines.withTimeout
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
-import java.nio.channels.AsynchronousChannelGroup
 
 private val logger = KotlinLogging.logger {}
 
@@ -24,7 +24,7 @@
 internal class PeerLink(
     private val address: HostAddress,
     private val settings: PeerTransportSettings,
-    private val channels: AsynchronousChannelGroup,
+    private val selector: SelectorManager,
     private val clock: MonotonicClock,
     private val backoff: Backoff,
     private val counters: PeerTransportCounters,
@@ -72,7 +72,7 @@
     private suspend fun open(): PeerSocket {
         val socket =
             try {
-                withTimeout(settings.connectTimeoutMs) { PeerSocket.connect(channels, address) }
+                withTimeout(settings.connectTimeoutMs) { PeerSocket.connect(selector, address) }
             } catch (e: TimeoutCancellationException) {
                 throw IOException("no connection within ${settings.connectTimeoutMs} ms", e)
             }
--- a/kumquatmill-wire/src/main/kotlin/io/kumquatmill/wire/PeerListener.kt
+++ b/kumquatmill-wire/src/main/kotlin/io/kumquatmill/wire/PeerListener.kt
@@ -1,13 +1,13 @@
 package io.kumquatmill.wire
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.ktor.network.sockets.ServerSocket
 import io.kumquatmill.node.message.PeerEnvelope
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
 import java.io.IOException
-import java.nio.channels.AsynchronousServerSocketChannel
 import java.util.concurrent.atomic.AtomicInteger
 
 private val logger = KotlinLogging.logger {}
@@ -22,7 +22,7 @@
 
     suspend fun run(
         scope: CoroutineScope,
-        server: AsynchronousServerSocketChannel,
+        server: ServerSocket,
     ) {
         while (true) {
             val socket = server.acceptPeer()
--- a/kumquatmill-wire/src/main/kotlin/io/kumquatmill/wire/PeerSocket.kt
+++ b/kumquatmill-wire/src/main/kotlin/io/kumquatmill/wire/PeerSocket.kt
@@ -1,86 +1,45 @@
 package io.kumquatmill.wire
 
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.SocketAddress
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.readByteArray
+import io.ktor.utils.io.writeFully
 import io.kumquatmill.common.fleet.HostAddress
-import kotlinx.coroutines.CancellableContinuation
-import kotlinx.coroutines.suspendCancellableCoroutine
-import java.io.EOFException
-import java.io.IOException
-import java.net.InetSocketAddress
-import java.net.SocketAddress
-import java.net.StandardSocketOptions
 import java.nio.ByteBuffer
-import java.nio.channels.AsynchronousChannelGroup
-import java.nio.channels.AsynchronousServerSocketChannel
-import java.nio.channels.AsynchronousSocketChannel
-import java.nio.channels.CompletionHandler
-import kotlin.coroutines.resume
-import kotlin.coroutines.resumeWithException
 
-/** A TCP connection for coroutines; cancelling an operation that is under way closes it. */
+/** A TCP connection to or from a peer. */
 internal class PeerSocket(
-    private val channel: AsynchronousSocketChannel,
+    private val socket: Socket,
 ) : AutoCloseable {
-    val remoteAddress: SocketAddress? = if (channel.isOpen) channel.remoteAddress else null
+    private val input = socket.openReadChannel()
+    private val output = socket.openWriteChannel(autoFlush = false)
+
+    val remoteAddress: SocketAddress = socket.remoteAddress
 
     /** Reads exactly [count] bytes. */
-    suspend fun readFully(count: Int): ByteBuffer {
-        val buffer = ByteBuffer.allocate(count)
-        while (buffer.hasRemaining()) {
-            val read = awaitResult<Int>(channel) { channel.read(buffer, it, ResumingHandler()) }
-            if (read < 0) throw EOFException("the peer closed the connection")
-        }
-        return buffer.flip()
-    }
+    suspend fun readFully(count: Int): ByteBuffer = ByteBuffer.wrap(input.readByteArray(count))
 
     /** Writes all that remains in [buffer]. */
     suspend fun writeFully(buffer: ByteBuffer) {
-        while (buffer.hasRemaining()) {
-            awaitResult<Int>(channel) { channel.write(buffer, it, ResumingHandler()) }
-        }
+        output.writeFully(buffer)
+        output.flush()
     }
 
-    override fun close() = channel.close()
+    override fun close() = socket.close()
 
     companion object {
         /** Connects to [address]. */
         suspend fun connect(
-            group: AsynchronousChannelGroup,
+            selector: SelectorManager,
             address: HostAddress,
-        ): PeerSocket {
-            val channel = AsynchronousSocketChannel.open(group)
-            channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
-            val target = InetSocketAddress(address.ip, address.port)
-            if (target.isUnresolved) throw IOException("$address is no IP number with a port")
-            awaitResult<Void?>(channel) { channel.connect(target, it, ResumingHandler()) }
-            return PeerSocket(channel)
-        }
+        ): PeerSocket = PeerSocket(aSocket(selector).tcp().connect(address.ip, address.port) { noDelay = true })
     }
 }
 
 /** Waits for the next connection. */
-internal suspend fun AsynchronousServerSocketChannel.acceptPeer(): PeerSocket {
-    val channel = awaitResult<AsynchronousSocketChannel>(this) { accept(it, ResumingHandler()) }
-    channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
-    return PeerSocket(channel)
-}
-
-private suspend fun <T> awaitResult(
-    channel: AutoCloseable,
-    start: (CancellableContinuation<T>) -> Unit,
-): T =
-    suspendCancellableCoroutine { continuation ->
-        continuation.invokeOnCancellation { channel.close() }
-        start(continuation)
-    }
-
-private class ResumingHandler<T> : CompletionHandler<T, CancellableContinuation<T>> {
-    override fun completed(
-        result: T,
-        continuation: CancellableContinuation<T>,
-    ) = continuation.resume(result)
-
-    override fun failed(
-        error: Throwable,
-        continuation: CancellableContinuation<T>,
-    ) = continuation.resumeWithException(error)
-}
+internal suspend fun ServerSocket.acceptPeer(): PeerSocket = PeerSocket(accept())
--- a/kumquatmill-wire/src/main/kotlin/io/kumquatmill/wire/PeerTransport.kt
+++ b/kumquatmill-wire/src/main/kotlin/io/kumquatmill/wire/PeerTransport.kt
@@ -1,6 +1,8 @@
 package io.kumquatmill.wire
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.aSocket
 import io.kumquatmill.common.fleet.HostAddress
 import io.kumquatmill.common.time.MonotonicClock
 import io.kumquatmill.node.message.PeerEnvelope
@@ -10,10 +12,7 @@
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
-import java.net.InetSocketAddress
-import java.net.StandardSocketOptions
-import java.nio.channels.AsynchronousChannelGroup
-import java.nio.channels.AsynchronousServerSocketChannel
+import kotlinx.coroutines.runBlocking
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ExecutorService
 import java.util.concurrent.Executors
@@ -37,7 +36,8 @@
     val counters = PeerTransportCounters()
 
     private val workThread = singleThread("peer-transport").asCoroutineDispatcher()
-    private val channels = AsynchronousChannelGroup.withThreadPool(singleThread("peer-io"))
+    private val ioThread = singleThread("peer-io").asCoroutineDispatcher()
+    private val selector = SelectorManager(ioThread)
     private val faults = CoroutineExceptionHandler { _, e -> if (!isClosed) logger.error(e) { "a peer connection failed" } }
     private val scope = CoroutineScope(SupervisorJob() + workThread + faults)
     private val links = ConcurrentHashMap<HostAddress, PeerLink>()
@@ -51,9 +51,7 @@
 
     /** Binds the listening socket and starts to receive. */
     fun start() {
-        val server = AsynchronousServerSocketChannel.open(channels)
-        server.setOption(StandardSocketOptions.SO_REUSEADDR, true)
-        server.bind(InetSocketAddress(listenAddress.ip, listenAddress.port))
+        val server = runBlocking { aSocket(selector).tcp().bind(listenAddress.ip, listenAddress.port) { reuseAddress = true } }
         scope.launch { server.use { PeerListener(settings, counters, onMessage).run(scope, it) } }
     }
 
@@ -68,13 +66,14 @@
     override fun close() {
         isClosed = true
         scope.cancel()
-        channels.shutdownNow()
+        selector.close()
         workThread.close()
+        ioThread.close()
     }
 
     private fun startLink(address: HostAddress): PeerLink {
         val backoff = Backoff(settings.reconnectMinMs, settings.reconnectMaxMs, Random(random.nextLong()))
-        val link = PeerLink(address, settings, channels, clock, backoff, counters)
+        val link = PeerLink(address, settings, selector, clock, backoff, counters)
         scope.launch { link.run { forget(address) } }
         return link
     }
