Renew leases while a slow store keeps the watch waiting

Cause: a host renewed its lease only while its watch was answered in time. With a store that answers after 3 s the watch counted as failed, renewals stopped, leases lapsed and live hosts were evicted. Ruled out: renewals alone; a renewal sent each second and taken 3 s later comes 35 ms after a lease of 4 s has lapsed. Change: a lease that is held is renewed through silence too, and lasts 4.5 s.

--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/MembershipAgent.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/MembershipAgent.kt
@@ -118,7 +118,7 @@
             if (hasLeft) return@output
             if (startedMs == NOT_STARTED) startedMs = nowMs
             watcher.onTick(nowMs, out)
-            if (watcher.isUp && incarnation != NOT_JOINED) keepRecord(nowMs, out)
+            if (incarnation != NOT_JOINED) keepRecord(nowMs, out)
             if (drainedMs == null && incarnation != NOT_JOINED) coordinator.onTick(nowMs, incarnation, out)
             inquire(nowMs, out)
         }
@@ -186,10 +186,10 @@
         out: OutputBuilder,
     ) {
         val state = if (isLeaving) HostRecordState.LEAVING else HostRecordState.LIVE
-        if (drainedMs == null) {
-            leases.onTick(nowMs, { lease -> HostRecord(self, state, lease) }, out)
-        } else {
-            leases.remove(nowMs, out)
+        when {
+            !watcher.isUp -> leases.renewThroughSilence(nowMs, out)
+            drainedMs == null -> leases.onTick(nowMs, { lease -> HostRecord(self, state, lease) }, out)
+            else -> leases.remove(nowMs, out)
         }
     }
 
--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/MembershipSettings.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/MembershipSettings.kt
@@ -15,7 +15,7 @@
     val standingMs: Long = 4_000,
     val driftMarginMs: Long = 500,
     val freshnessMs: Long = 6_000,
-    val storeLeaseTtlMs: Long = 4_000,
+    val storeLeaseTtlMs: Long = 4_500,
     val maxStoreRenewalsPerS: Int = 200,
     val storeCallTimeoutMs: Long = 3_000,
     val minReconnectDelayMs: Long = 250,
--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/lease/LeaseKeeper.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/lease/LeaseKeeper.kt
@@ -50,6 +50,14 @@
         lease?.let { writeRecord(nowMs, recordOf(it), out) }
     }
 
+    /** Renews a lease that is held while the store is silent: a slow store may still take the renewal in time. */
+    fun renewThroughSilence(
+        nowMs: Long,
+        out: OutputBuilder,
+    ) {
+        if (lease != null && nowMs >= nextLeaseCallMs) callForLease(nowMs, out)
+    }
+
     /** After an outage, waits for a random time, so that not all hosts write at once. */
     private fun spreadAfterReturn(nowMs: Long) {
         val returnedMs = watcher.returnedMs
--- a/kumquatmill-scenario/src/test/kotlin/io/kumquatmill/scenario/proof/StoreFailureProofTest.kt
+++ b/kumquatmill-scenario/src/test/kotlin/io/kumquatmill/scenario/proof/StoreFailureProofTest.kt
@@ -17,13 +17,11 @@
 
     @Test
     fun `a slow store costs no request`() {
-        val proof =
-            prove("store slow") {
-                at(10.seconds) { storeSlow(3_000) }
-                at(40.seconds) { storeSlow(0) }
-                lasts(60.seconds)
-            }.keepsAllPromises()
-        passOverKnownRed("store that answers after 3 s costs no request") { proof.refusesNothingWrongly() }
+        prove("store slow") {
+            at(10.seconds) { storeSlow(3_000) }
+            at(40.seconds) { storeSlow(0) }
+            lasts(60.seconds)
+        }.keepsAllPromises().refusesNothingWrongly()
     }
 
     @Test
