Give each public type a file of its own

Cause: identifiers, roster, look-up, status, events and settings shared files, so that a type was not found by its name.

--- /dev/null
+++ b/kumquatmill-common/src/main/kotlin/io/kumquatmill/common/id/RouteId.kt
@@ -0,0 +1,14 @@
+package io.kumquatmill.common.id
+
+import kotlinx.serialization.Serializable
+
+/** Name of an entry of the route table. */
+@Serializable
+@JvmInline
+value class RouteId(
+    val value: String,
+) : Comparable<RouteId> {
+    override fun compareTo(other: RouteId): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value
+}
--- /dev/null
+++ b/kumquatmill-common/src/main/kotlin/io/kumquatmill/common/id/WorkspaceId.kt
@@ -0,0 +1,14 @@
+package io.kumquatmill.common.id
+
+import kotlinx.serialization.Serializable
+
+/** Name of a workspace: a customer, with the plan that bounds what it may use. */
+@Serializable
+@JvmInline
+value class WorkspaceId(
+    val value: String,
+) : Comparable<WorkspaceId> {
+    override fun compareTo(other: WorkspaceId): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value
+}
--- a/kumquatmill-configuration/src/main/kotlin/io/kumquatmill/configuration/model/OperatorLists.kt
+++ b/kumquatmill-configuration/src/main/kotlin/io/kumquatmill/configuration/model/OperatorLists.kt
@@ -8,10 +8,3 @@
     val plans: List<Plan> = emptyList(),
     val customers: List<Customer> = emptyList(),
 )
-
-/** The operators' lists as accepted by the key-value service at [revision]; higher revisions replace lower ones. */
-@Serializable
-data class VersionedLists(
-    val revision: Long,
-    val lists: OperatorLists,
-)
--- /dev/null
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/EntryHost.kt
@@ -0,0 +1,12 @@
+package io.kumquatmill.node
+
+import io.kumquatmill.common.fleet.HostAddress
+import io.kumquatmill.common.id.HostId
+import io.kumquatmill.common.id.RegionId
+
+/** An entry host as callers see it. */
+data class EntryHost(
+    val host: HostId,
+    val region: RegionId,
+    val address: HostAddress,
+)
--- a/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/LookUp.kt
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/LookUpAnswer.kt
@@ -1,16 +1,6 @@
 package io.kumquatmill.node
 
-import io.kumquatmill.common.fleet.HostAddress
-import io.kumquatmill.common.id.HostId
-import io.kumquatmill.common.id.RegionId
 import io.kumquatmill.common.outcome.Outcome
-import io.kumquatmill.configuration.model.KeyHash
-
-/** A caller's question which entry hosts to use; [clientIp] places it in a region. */
-data class LookUpQuery(
-    val keyHash: KeyHash?,
-    val clientIp: String,
-)
 
 /** Answer to a [LookUpQuery]. */
 sealed interface LookUpAnswer {
@@ -26,10 +16,3 @@
         val outcome: Outcome.NotRun,
     ) : LookUpAnswer
 }
-
-/** An entry host as callers see it. */
-data class EntryHost(
-    val host: HostId,
-    val region: RegionId,
-    val address: HostAddress,
-)
--- a/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/NodeStatus.kt
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/NodeStatus.kt
@@ -20,20 +20,3 @@
     val queuedRequests: Int,
     val shares: List<ShareStatus>,
 )
-
-/** Units of one limit that a host may use now, out of all units of the limit. */
-data class ShareStatus(
-    val limit: String,
-    val units: Long,
-    val totalUnits: Long,
-)
-
-/** Where an entry host is in its life. */
-enum class Lifecycle(
-    val wireName: String,
-) {
-    STARTING("starting"),
-    LIVE("live"),
-    DRAINING("draining"),
-    STOPPED("stopped"),
-}
--- a/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/effect/Decision.kt
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/effect/Decision.kt
@@ -17,19 +17,3 @@
     val worker: WorkerId? = null,
     val outcome: String? = null,
 )
-
-/** What a [Decision] is about. */
-enum class DecisionKind(
-    val wireName: String,
-) {
-    FORWARD("forward"),
-    RETRY("retry"),
-    QUEUE("queue"),
-    ANSWER("answer"),
-    REFUSE("refuse"),
-    CONFIGURATION("configuration"),
-    SHARE("share"),
-    MEMBERSHIP("membership"),
-    EJECT("eject"),
-    DRAIN("drain"),
-}
--- a/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/event/NodeEvent.kt
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/event/NodeEvent.kt
@@ -73,33 +73,3 @@
         const val TICK_INTERVAL_MS: Long = 50
     }
 }
-
-/** What a worker's load endpoint says of itself. */
-data class LoadReport(
-    val busySlots: Int,
-    val isHealthy: Boolean,
-    val isDraining: Boolean,
-)
-
-/** How an attempt ended, as seen on its connection. */
-sealed interface AttemptResult {
-    /** A complete answer arrived and is held by the daemon until the request is answered. */
-    data class Answered(
-        val status: Int,
-        val bodyBytes: Long,
-    ) : AttemptResult
-
-    /** Provably not run: the connection was refused before any byte was sent. */
-    data object NotSent : AttemptResult
-
-    /** Provably not run: the worker said so in its protocol. */
-    data class Shed(
-        val retryAfterMs: Long,
-        val isDraining: Boolean,
-    ) : AttemptResult
-
-    /** The request may have run: the connection broke, the answer was cut, crossed or late. */
-    data class Unknown(
-        val detail: String,
-    ) : AttemptResult
-}
--- /dev/null
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/request/ActiveAttempt.kt
@@ -0,0 +1,13 @@
+package io.kumquatmill.node.request
+
+import io.kumquatmill.common.id.AttemptId
+import io.kumquatmill.routing.model.Worker
+
+/** An attempt that was sent to [worker] and has not ended yet; [expectedAnswerBytes] were taken of the link, if any. */
+internal data class ActiveAttempt(
+    val id: AttemptId,
+    val worker: Worker,
+    val sentAtMs: Long,
+    val deadlineAtMs: Long,
+    val expectedAnswerBytes: Long,
+)
--- a/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/request/Admission.kt
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/request/Admission.kt
@@ -6,31 +6,14 @@
 import arrow.core.raise.ensure
 import arrow.core.raise.ensureNotNull
 import arrow.core.right
-import io.kumquatmill.common.id.WorkspaceId
 import io.kumquatmill.common.outcome.RefusalReason
 import io.kumquatmill.configuration.model.KeyHash
-import io.kumquatmill.configuration.model.Plan
 import io.kumquatmill.configuration.register.ConfigurationSnapshot
 import io.kumquatmill.node.event.NodeEvent
 import io.kumquatmill.routing.model.Route
 import io.kumquatmill.routing.route.RouteMatch
 import io.kumquatmill.routing.route.RouteTable
 
-/** Who a request runs for and where it goes; [plan] is null on open routes without a key. */
-internal data class Admitted(
-    val route: Route,
-    val workspace: WorkspaceId?,
-    val plan: Plan?,
-)
-
-/** Whether this host may decide on requests at the moment. */
-internal data class HostFitness(
-    val isStopping: Boolean,
-    val isStarting: Boolean,
-    val hasStanding: Boolean,
-    val isConfigurationFresh: Boolean,
-)
-
 /** Checks a new request against the route table, the operators' lists and the state of this host. */
 internal class Admission(
     private val routes: RouteTable,
--- a/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/request/OpenRequest.kt
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/request/OpenRequest.kt
@@ -1,11 +1,9 @@
 package io.kumquatmill.node.request
 
-import io.kumquatmill.common.id.AttemptId
 import io.kumquatmill.common.id.RequestId
 import io.kumquatmill.common.id.WorkerId
 import io.kumquatmill.common.id.WorkspaceId
 import io.kumquatmill.routing.idempotency.IdempotencyKey
-import io.kumquatmill.routing.model.Worker
 import io.kumquatmill.routing.request.RequestState
 
 /** A request that was admitted and has not been answered yet. */
@@ -30,12 +28,3 @@
     val triedWorkers: Set<WorkerId>
         get() = state.triedWorkers.toSet()
 }
-
-/** An attempt that was sent to [worker] and has not ended yet; [expectedAnswerBytes] were taken of the link, if any. */
-internal data class ActiveAttempt(
-    val id: AttemptId,
-    val worker: Worker,
-    val sentAtMs: Long,
-    val deadlineAtMs: Long,
-    val expectedAnswerBytes: Long,
-)
--- a/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/deployment/Deployment.kt
+++ b/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/deployment/Deployment.kt
@@ -1,7 +1,6 @@
 package io.kumquatmill.scenario.deployment
 
 import io.kumquatmill.common.fleet.HostAddress
-import io.kumquatmill.common.id.AvailabilityZoneId
 import io.kumquatmill.common.id.HostId
 import io.kumquatmill.common.id.RegionId
 import io.kumquatmill.routing.model.Topology
@@ -26,10 +25,3 @@
         const val FIRST_PORT = 7_001
     }
 }
-
-/** Name and place of an entry host. */
-data class EntryHostPlace(
-    val host: HostId,
-    val region: RegionId,
-    val availabilityZone: AvailabilityZoneId,
-)
--- a/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/invariant/Invariant.kt
+++ b/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/invariant/Invariant.kt
@@ -8,15 +8,6 @@
     val check: (History) -> List<Violation>,
 )
 
-/** A breach of the invariant [invariant] at [atMs] of the scenario's time. */
-data class Violation(
-    val invariant: String,
-    val atMs: Long,
-    val detail: String,
-) {
-    override fun toString(): String = "$invariant at $atMs ms: $detail"
-}
-
 /** All invariants, with the bounds that [bounds] states. */
 fun allInvariants(bounds: InvariantBounds = InvariantBounds()): List<Invariant> =
     listOf(
@@ -36,15 +27,3 @@
 
 /** Returns all breaches of [invariants] in [history]. */
 fun History.violations(invariants: List<Invariant>): List<Violation> = invariants.flatMap { it.check(this) }
-
-/** Times and tolerances that the promises of the product allow. */
-data class InvariantBounds(
-    /** Time in which an accepted configuration is in force everywhere. */
-    val inForceMs: Long = 8_000,
-    /** Time after which a withdrawn key is refused everywhere. */
-    val withdrawnKeyMs: Long = 8_000,
-    /** Time after which a leaving worker gets no new work. */
-    val leavingWorkerMs: Long = 5_000,
-    /** Longest window that is looked at for the use of a link. */
-    val linkWindowMs: Long = 1_000,
-)
--- a/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/virtual/VirtualNetwork.kt
+++ b/kumquatmill-scenario/src/main/kotlin/io/kumquatmill/scenario/virtual/VirtualNetwork.kt
@@ -66,11 +66,3 @@
         const val CUT_DETECTION_MS = 1_000L
     }
 }
-
-/** Delays of a deployment's network, one way, in milliseconds. */
-data class NetworkDelays(
-    val betweenZonesMs: Long,
-    val betweenRegionsMs: Long,
-    val toCallersMs: Long,
-    val jitterMs: Long = 1,
-)
--- /dev/null
+++ b/kumquatmill-store/src/main/kotlin/io/kumquatmill/store/HostListState.kt
@@ -0,0 +1,10 @@
+package io.kumquatmill.store
+
+import kotlinx.serialization.Serializable
+
+/** State of a host in the platform's lagging list; a host that is not listed is gone. */
+@Serializable
+enum class HostListState {
+    LIVE,
+    LEAVING,
+}
--- /dev/null
+++ b/kumquatmill-store/src/main/kotlin/io/kumquatmill/store/LeaseId.kt
@@ -0,0 +1,10 @@
+package io.kumquatmill.store
+
+import kotlinx.serialization.Serializable
+
+/** Identifier of a lease of the key-value service. */
+@Serializable
+@JvmInline
+value class LeaseId(
+    val value: Long,
+)
--- /dev/null
+++ b/kumquatmill-store/src/main/kotlin/io/kumquatmill/store/StoreChange.kt
@@ -0,0 +1,11 @@
+package io.kumquatmill.store
+
+import kotlinx.serialization.Serializable
+
+/** A change of one key at [revision]; [value] is null when the entry was deleted or its lease lapsed. */
+@Serializable
+data class StoreChange(
+    val key: String,
+    val value: String?,
+    val revision: Long,
+)
--- a/kumquatmill-store/src/main/kotlin/io/kumquatmill/store/StoreEntry.kt
+++ b/kumquatmill-store/src/main/kotlin/io/kumquatmill/store/StoreEntry.kt
@@ -9,18 +9,3 @@
     val value: String,
     val revision: Long,
 )
-
-/** A change of one key at [revision]; [value] is null when the entry was deleted or its lease lapsed. */
-@Serializable
-data class StoreChange(
-    val key: String,
-    val value: String?,
-    val revision: Long,
-)
-
-/** Identifier of a lease of the key-value service. */
-@Serializable
-@JvmInline
-value class LeaseId(
-    val value: Long,
-)
