Let a daemon start in an outage from its peers and wait for a slow store

Cause: the daemon knew no peer before it had read the store, so it could not start in an outage; and it gave a call of the store up after 1 s, so that with a slower store an edit could be accepted while every daemon took the store for down. Change: [peers] names the other hosts; store-timeout-ms is 10 s by default, apart from the time after which membership asks again.

--- a/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/DaemonNode.kt
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/DaemonNode.kt
@@ -13,7 +13,6 @@
 import kotlin.random.Random
 import io.kumquatmill.membership.IsolationPolicy as NodeIsolationPolicy
 
-private const val STORE_CALL_MARGIN_MS = 500L
 private const val STOP_MARGIN_MS = 2_000L
 
 /** Returns the node that [settings] describe. */
@@ -27,6 +26,7 @@
         description = hostDescription(settings.host),
         topology = settings.topology,
         membership = membershipSettings(settings),
+        seedPeers = settings.peers - settings.host.id,
         queue = QueueSettings(maxPerWorkspace = settings.queues.maxPerWorkspace),
         request = requestSettings(settings),
     )
@@ -46,7 +46,7 @@
         isolationPolicy = isolationPolicy(settings.standing.isolationPolicy),
         standingMs = settings.standing.standingMs,
         freshnessMs = settings.standing.freshnessMs,
-        storeCallTimeoutMs = settings.platform.storeTimeoutMs + STORE_CALL_MARGIN_MS,
+        seedHosts = settings.peers.keys - settings.host.id,
     )
 
 private fun isolationPolicy(policy: IsolationPolicy): NodeIsolationPolicy =
--- a/kumquatmill-settings/src/main/kotlin/io/kumquatmill/settings/SettingsDefaults.kt
+++ b/kumquatmill-settings/src/main/kotlin/io/kumquatmill/settings/SettingsDefaults.kt
@@ -2,7 +2,7 @@
 
 /** Values of the settings that a file does not set. */
 object SettingsDefaults {
-    const val STORE_TIMEOUT_MS: Long = 1_000
+    const val STORE_TIMEOUT_MS: Long = 10_000
     const val HOST_LIST_INTERVAL_MS: Long = 2_000
 
     const val MAX_HEAD_BYTES: Int = 16 * 1024
--- a/kumquatmill-settings/src/main/kotlin/io/kumquatmill/settings/section/SettingsBuilder.kt
+++ b/kumquatmill-settings/src/main/kotlin/io/kumquatmill/settings/section/SettingsBuilder.kt
@@ -15,7 +15,7 @@
 private const val ROUTE = "route."
 private const val LINK = "link."
 private val plainSections =
-    setOf("host", "platform", "availability-zones", "shift", "limits", "queues", "forward", "standing", "logs", "metrics")
+    setOf("host", "peers", "platform", "availability-zones", "shift", "limits", "queues", "forward", "standing", "logs", "metrics")
 
 /** Builds the settings out of the [sections] of all files and notes every fault in [errors]. */
 internal class SettingsBuilder(
@@ -29,6 +29,7 @@
         val host = read("host") { hostSettings().also { checkZone(it, zones) } }
         return DaemonSettings(
             host = host,
+            peers = read("peers") { peers() },
             platform = read("platform") { platformSettings().also { checkStoreRegion(it, zones) } },
             topology = topology(zones),
             limits = read("limits") { requestLimits() },
--- a/kumquatmill-settings/src/main/kotlin/io/kumquatmill/settings/section/TopologySections.kt
+++ b/kumquatmill-settings/src/main/kotlin/io/kumquatmill/settings/section/TopologySections.kt
@@ -1,6 +1,8 @@
 package io.kumquatmill.settings.section
 
+import io.kumquatmill.common.fleet.HostAddress
 import io.kumquatmill.common.id.AvailabilityZoneId
+import io.kumquatmill.common.id.HostId
 import io.kumquatmill.common.id.RegionId
 import io.kumquatmill.common.id.RouteId
 import io.kumquatmill.common.id.UpstreamId
@@ -27,6 +29,20 @@
         .map { (zone, region) -> AvailabilityZoneId(zone) to RegionId(region) }
         .toMap()
 
+internal fun SectionReader.peers(): Map<HostId, HostAddress> =
+    optionsUnder("")
+        .mapNotNull { (host, value) -> peer(host, value) }
+        .toMap()
+
+private fun SectionReader.peer(
+    host: String,
+    value: String,
+): Pair<HostId, HostAddress>? {
+    val address = value.toHostAddressOrNull()
+    if (address == null) note(host, value, SectionReader.ADDRESS_EXPECTED, "write the peer-address of that host")
+    return address?.let { HostId(host) to it }
+}
+
 internal fun SectionReader.workers(
     upstream: UpstreamId,
     zones: ZoneRegions,
--- a/kumquatmill-settings/src/test/kotlin/io/kumquatmill/settings/SettingsLoaderTest.kt
+++ b/kumquatmill-settings/src/test/kotlin/io/kumquatmill/settings/SettingsLoaderTest.kt
@@ -1,6 +1,7 @@
 package io.kumquatmill.settings
 
 import io.kumquatmill.common.fleet.HostAddress
+import io.kumquatmill.common.id.HostId
 import io.kumquatmill.common.id.RegionId
 import kotlin.io.path.writeText
 import kotlin.test.Test
@@ -63,6 +64,15 @@
         )
     }
 
+    @Test
+    fun `peers are read with their addresses and a bad one is named`() {
+        val settings = settingsOf(settingsFile("$VALID_SETTINGS\n[peers]\nh2 = 127.0.0.1:9002\n"))
+        assertEquals(mapOf(HostId("h2") to HostAddress("127.0.0.1", 9002)), settings.peers)
+
+        val fault = faultsAfter("[shift]", "[peers]\nh2 = somewhere\n[shift]").single()
+        assertTrue(fault.startsWith("[peers] h2: found 'somewhere', expected "), fault)
+    }
+
     @Test
     fun `a negative duration and a value out of range are faults`() {
         val duration = faultsAfter("[shift]", "[shift]\ninterval-ms = -5").single()
