Free the listening port before the peer transport's close returns

Cause: PeerTransportTest 'a peer that restarts is reached again' failed once in a clean clone: the port was still in use, because Ktor closes a socket later. Change: close waits, at most 1 s, until the listening socket is closed.

--- a/kumquatmill-wire/src/main/kotlin/io/kumquatmill/wire/PeerTransport.kt
+++ b/kumquatmill-wire/src/main/kotlin/io/kumquatmill/wire/PeerTransport.kt
@@ -2,7 +2,9 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.awaitClosed
 import io.kumquatmill.common.fleet.HostAddress
 import io.kumquatmill.common.time.MonotonicClock
 import io.kumquatmill.node.message.PeerEnvelope
@@ -13,6 +15,7 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ExecutorService
 import java.util.concurrent.Executors
@@ -45,6 +48,9 @@
     @Volatile
     private var isClosed = false
 
+    @Volatile
+    private var listeningSocket: ServerSocket? = null
+
     /** Number of messages that wait for their connections. */
     val queuedMessages: Int
         get() = links.values.sumOf { it.depth }
@@ -52,6 +58,7 @@
     /** Binds the listening socket and starts to receive. */
     fun start() {
         val server = runBlocking { aSocket(selector).tcp().bind(listenAddress.ip, listenAddress.port) { reuseAddress = true } }
+        listeningSocket = server
         scope.launch { server.use { PeerListener(settings, counters, onMessage).run(scope, it) } }
     }
 
@@ -63,9 +70,14 @@
         links.compute(address) { _, link -> (link ?: startLink(address)).apply { offer(envelope) } }
     }
 
+    /** Ends all connections; when it returns, the listening port is free again. */
     override fun close() {
         isClosed = true
         scope.cancel()
+        listeningSocket?.let { server ->
+            server.close()
+            runBlocking { withTimeoutOrNull(CLOSE_TIMEOUT_MS) { server.awaitClosed() } }
+        }
         selector.close()
         workThread.close()
         ioThread.close()
@@ -83,4 +95,8 @@
 
     private fun singleThread(name: String): ExecutorService =
         Executors.newSingleThreadExecutor { task -> Thread(task, name).apply { isDaemon = true } }
+
+    private companion object {
+        const val CLOSE_TIMEOUT_MS = 1_000L
+    }
 }
