Keep a host that lost only the store while it answers its peers

Cause: a host that alone could not reach the store was evicted when its lease lapsed, although it lived and had standing by its witnesses. Its callers, who keep their look-up for 5 s, were refused in that time. Change: before a host proposes an eviction it asks the member; one that was heard within 2.5 s stays.

--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/MembershipAgent.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/MembershipAgent.kt
@@ -146,6 +146,7 @@
         message: MembershipMessage,
     ): MembershipOutput =
         output { out ->
+            coordinator.onHeard(nowMs, from)
             when (message) {
                 is StandingRequest -> answer(nowMs, from, message, out)
                 is StandingReply -> onStandingReply(nowMs, from, fromIncarnation, message, out)
@@ -200,7 +201,7 @@
         noteDeparture(nowMs)
         val isSilent = isStoreSilent(nowMs)
         val needsWitnesses = coordinator.needsWitnesses || (isSilent && isMember())
-        inquiry.onTick(nowMs, needsWitnesses, isSilent, configurationRevision(), out)
+        inquiry.onTick(nowMs, needsWitnesses, isSilent, coordinator.suspects, configurationRevision(), out)
     }
 
     private fun noteDeparture(nowMs: Long) {
--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/MembershipSettings.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/MembershipSettings.kt
@@ -27,6 +27,8 @@
     val rankDelayMs: Long = 300,
     val changeDelayMs: Long = 300,
     val evictionDelayMs: Long = 500,
+    val aliveMs: Long = 2_500,
+    val suspectAnswerMs: Long = 200,
     val minReturnGraceMs: Long = 10_000,
     val witnessTimeoutMs: Long = 2_500,
     val finishDelayMs: Long = 2_000,
--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/roster/RosterCoordinator.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/roster/RosterCoordinator.kt
@@ -50,6 +50,16 @@
     val needsWitnesses: Boolean
         get() = turnSinceMs != null
 
+    /** Members without a record, which have to be asked whether they live before this host proposes to evict them. */
+    val suspects: Set<HostId>
+        get() = if (turnSinceMs == null) emptySet() else holder.members.map { it.host }.filterTo(mutableSetOf()) { it !in view.records }
+
+    /** Notes that [host] has sent a message. */
+    fun onHeard(
+        nowMs: Long,
+        host: HostId,
+    ) = eviction.onHeard(nowMs, host)
+
     fun onTick(
         nowMs: Long,
         incarnation: Incarnation,
@@ -137,7 +147,7 @@
         }
         if (!isTurn(nowMs)) return
         if (reachesWitnesses(nowMs, incarnation, document)) {
-            propose(nowMs, document, out)
+            if (haveSuspectsAnswered(nowMs)) propose(nowMs, document, out)
         } else {
             noteUnreached(nowMs)
         }
@@ -164,6 +174,11 @@
         write(nowMs, document.prepared(planned, self, settings.witnessCount), out)
     }
 
+    private fun haveSuspectsAnswered(nowMs: Long): Boolean {
+        val sinceMs = turnSinceMs ?: return false
+        return suspects.isEmpty() || nowMs - sinceMs >= settings.suspectAnswerMs
+    }
+
     /** Hosts that were cut off need time to renew their records before they may be evicted. */
     private fun noteUnreached(nowMs: Long) {
         val sinceMs = turnSinceMs ?: return
--- a/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/standing/PeerInquiry.kt
+++ b/kumquatmill-membership/src/main/kotlin/io/kumquatmill/membership/standing/PeerInquiry.kt
@@ -40,12 +40,13 @@
         nowMs: Long,
         needsWitnesses: Boolean,
         isStoreSilent: Boolean,
+        suspects: Set<HostId>,
         configurationRevision: Long,
         out: OutputBuilder,
     ) {
         val isDue = nowMs >= nextRoundMs || (needsWitnesses && !lastRoundAskedWitnesses)
         if (!isDue) return
-        val targets = targets(needsWitnesses, isStoreSilent)
+        val targets = targets(needsWitnesses, isStoreSilent) + (suspects - description.host)
         if (targets.isEmpty()) return
         val fleetSize = holder.members.size
         nextRoundMs = nowMs + if (needsWitnesses) settings.askPeriodMs(fleetSize) else settings.renewPeriodMs(fleetSize)
