Name the store's keys once and rebuild peer addresses only when hosts change

Cause: a read of the whole change found the keys of the lists and of host records written twice, the map of peer addresses built at each tick although the known hosts are cached, and a counter and a refusal reason that nothing read. Change: StoreKeys holds the keys for both modules; the address map follows the cached list; the dead members are gone. Behaviour is as before.

--- a/kumquatmill-configuration/src/main/kotlin/io/kumquatmill/configuration/json/ListsDocument.kt
+++ b/kumquatmill-configuration/src/main/kotlin/io/kumquatmill/configuration/json/ListsDocument.kt
@@ -4,6 +4,7 @@
 import io.kumquatmill.configuration.model.Customer
 import io.kumquatmill.configuration.model.OperatorLists
 import io.kumquatmill.configuration.model.Plan
+import io.kumquatmill.store.StoreKeys
 import kotlinx.serialization.Serializable
 
 /**
@@ -29,7 +30,7 @@
 
     companion object {
         /** Key of the lists in the key-value service. */
-        const val KEY: String = "config/lists"
+        const val KEY: String = StoreKeys.LISTS
 
         /** Number of edits that are remembered. */
         const val MAX_RECENT_EDITS: Int = 64
--- a/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/Coordination.kt
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/Coordination.kt
@@ -154,7 +154,9 @@
     }
 
     private fun refreshHosts(nowMs: Long) {
-        knownHosts = membership.knownHosts(nowMs)
+        val current = membership.knownHosts(nowMs)
+        if (current === knownHosts) return
+        knownHosts = current
         addresses = settings.seedPeers + knownHosts.associate { it.member.host to it.member.peerAddress }
     }
 
--- a/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/request/Dispatcher.kt
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/request/Dispatcher.kt
@@ -1,6 +1,5 @@
 package io.kumquatmill.node.request
 
-import io.kumquatmill.common.outcome.RefusalReason
 import io.kumquatmill.limits.ledger.TakeResult
 import io.kumquatmill.node.effect.Decision
 import io.kumquatmill.node.effect.DecisionKind
@@ -26,9 +25,7 @@
     data object NoRate : DispatchResult
 
     /** No worker can take the request now. */
-    data class NoWorker(
-        val reason: RefusalReason,
-    ) : DispatchResult
+    data object NoWorker : DispatchResult
 }
 
 /** Sends a request to a worker when the limits allow it; every attempt takes a token of its workspace. */
@@ -58,7 +55,7 @@
 
             is RegionChoice.Refused -> {
                 ledger.returnRate(nowMs, request.workspace)
-                DispatchResult.NoWorker(choice.reason)
+                DispatchResult.NoWorker
             }
         }
     }
--- a/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/request/SlotHolds.kt
+++ b/kumquatmill-node/src/main/kotlin/io/kumquatmill/node/request/SlotHolds.kt
@@ -9,10 +9,6 @@
 ) {
     private val holds = PriorityQueue(compareBy<SlotHold> { it.untilMs })
 
-    /** Number of slots that are held. */
-    val size: Int
-        get() = holds.size
-
     fun hold(
         worker: WorkerId,
         untilMs: Long,
--- a/kumquatmill-store/src/main/kotlin/io/kumquatmill/store/StoreKeys.kt
+++ b/kumquatmill-store/src/main/kotlin/io/kumquatmill/store/StoreKeys.kt
@@ -2,6 +2,9 @@
 
 /** Keys of the key-value service that operators' tools and entry hosts share. */
 object StoreKeys {
+    /** Key of the operators' lists. */
+    const val LISTS: String = "config/lists"
+
     /** Prefix of the records of live entry hosts, by host name. */
     const val HOST_PREFIX: String = "hosts/"
 
