--- a/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/CallerHandler.kt
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/CallerHandler.kt
@@ -6,6 +6,7 @@
 import io.kumquatmill.common.outcome.RefusalReason
 import io.kumquatmill.common.time.MonotonicClock
 import io.kumquatmill.configuration.model.KeyHash
+import io.kumquatmill.gateway.caller.DisconnectWatch
 import io.kumquatmill.node.event.NodeEvent
 import io.kumquatmill.settings.RequestLimits
 import io.undertow.io.Receiver
--- /dev/null
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerHandler.kt
@@ -0,0 +1,104 @@
+package io.kumquatmill.gateway.caller
+
+import io.kumquatmill.common.time.MonotonicClock
+import io.kumquatmill.gateway.http.LoopClient
+import io.kumquatmill.gateway.log.RequestLog
+import io.kumquatmill.gateway.metrics.GatewayMetrics
+import io.kumquatmill.traffic.desk.Identification
+import io.kumquatmill.traffic.desk.TrafficDesk
+import io.undertow.io.Receiver
+import io.undertow.server.HttpHandler
+import io.undertow.server.HttpServerExchange
+import io.undertow.server.RequestTooBigException
+import io.undertow.util.Headers
+import io.undertow.util.SameThreadExecutor
+import kotlin.math.min
+
+/** What the handling of requests needs; all of it belongs to one event loop. */
+class CallerContext(
+    val names: WireNames,
+    val desk: TrafficDesk,
+    val client: LoopClient,
+    val clock: MonotonicClock,
+    val log: RequestLog,
+    val metrics: GatewayMetrics,
+)
+
+/** Reads callers' requests and has each of them served; a request takes no thread. */
+class CallerHandler(
+    private val context: CallerContext,
+) : HttpHandler {
+    private val desk = context.desk
+    private val open = LinkedHashSet<CallerRequest>()
+
+    /** Whether connections are closed after their answer, since this host stops. */
+    var isDraining: Boolean = false
+
+    /** Requests that were read and are not answered yet. */
+    val openRequests: Int
+        get() = open.size
+
+    override fun handleRequest(exchange: HttpServerExchange) {
+        if (exchange.hasUnclearLength) {
+            exchange.isPersistent = false
+            return answer(exchange, OwnAnswer.unclearLength)
+        }
+        val maxBytes = min(desk.maxBodyBytes, MAX_HELD_BODY_BYTES)
+        if (desk.version != null && exchange.requestContentLength > maxBytes) {
+            exchange.isPersistent = false
+            return answer(exchange, OwnAnswer.tooLarge)
+        }
+        exchange.requestReceiver.setMaxBufferSize(maxBytes.toInt())
+        exchange.requestReceiver.receiveFullBytes(
+            { _, body -> onRead(exchange, body) },
+            { _, error ->
+                exchange.isPersistent = false
+                val isTooLarge = error is Receiver.RequestToLargeException || error is RequestTooBigException
+                if (exchange.connection.isOpen) answer(exchange, if (isTooLarge) OwnAnswer.tooLarge else OwnAnswer.unreadable)
+            },
+        )
+    }
+
+    private fun onRead(
+        exchange: HttpServerExchange,
+        body: ByteArray,
+    ) {
+        val id = exchange.requestHeaders.getFirst(context.names.requestId) ?: return answer(exchange, OwnAnswer.noRequestId)
+        val host = exchange.requestHeaders.getFirst(Headers.HOST).orEmpty()
+        when (val known = desk.identify(host, exchange.rawPath, exchange.bearerKey)) {
+            is Identification.NotReady -> answer(exchange, OwnAnswer.starting)
+            is Identification.UnknownRoute -> answer(exchange, OwnAnswer.unknownRoute)
+            is Identification.UnknownKey -> answer(exchange, OwnAnswer.unknownKey)
+            is Identification.Known -> serve(exchange, id, body, known)
+        }
+    }
+
+    private fun serve(
+        exchange: HttpServerExchange,
+        id: String,
+        body: ByteArray,
+        known: Identification.Known,
+    ) {
+        val request = CallerRequest(context, exchange, id, body, known, isDraining = { isDraining }) { open.remove(it) }
+        open.add(request)
+        // Answers may come at once or later, on this thread in both cases: the exchange stays open until then.
+        exchange.dispatch(SameThreadExecutor.INSTANCE, Runnable { request.start() })
+    }
+
+    private fun answer(
+        exchange: HttpServerExchange,
+        answer: OwnAnswer,
+    ) {
+        val id = exchange.requestHeaders.getFirst(context.names.requestId)
+        if (isDraining) exchange.isPersistent = false
+        exchange.send(answer, id)
+        context.metrics.countRequest(NO_ROUTE, answer.reason)
+        context.log.unrouted(id, exchange.requestHeaders.getFirst(Headers.HOST), exchange.rawPath, answer, desk.version)
+    }
+
+    private companion object {
+        /** Bodies are held whole, so that a request can go to another worker; larger ones are refused. */
+        const val MAX_HELD_BODY_BYTES = 4L * 1024 * 1024
+        const val NO_ROUTE = "none"
+    }
+}
--- a/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/DisconnectWatch.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/DisconnectWatch.kt
@@ -1,4 +1,4 @@
-package io.kumquatmill.daemon.caller
+package io.kumquatmill.gateway.caller
 
 import io.undertow.connector.PooledByteBuffer
 import io.undertow.server.AbstractServerConnection
@@ -13,7 +13,7 @@
  * Undertow reads nothing from a connection until the answer is out, so the watch reads in its place. Bytes of a following
  * request are handed back to the connection. All methods run on the connection's thread.
  */
-internal class DisconnectWatch(
+class DisconnectWatch(
     private val exchange: HttpServerExchange,
     private val onDisconnect: () -> Unit,
 ) {
--- /dev/null
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/LogSetup.kt
@@ -0,0 +1,55 @@
+package io.kumquatmill.gateway.log
+
+import ch.qos.logback.classic.AsyncAppender
+import ch.qos.logback.classic.Level
+import ch.qos.logback.classic.LoggerContext
+import ch.qos.logback.classic.encoder.JsonEncoder
+import ch.qos.logback.classic.spi.ILoggingEvent
+import ch.qos.logback.core.ConsoleAppender
+import org.slf4j.Logger
+import org.slf4j.LoggerFactory
+
+private const val QUEUED_LINES = 4_096
+private const val FLUSH_TIMEOUT_MS = 300
+
+/**
+ * Sends log lines of [level] and above as JSON to standard output, on a thread of its own.
+ *
+ * The queue is bounded: when it is full, lines are dropped, and no request waits for a line.
+ */
+fun setUpLogs(level: String) {
+    val context = LoggerFactory.getILoggerFactory() as LoggerContext
+    context.reset()
+    val encoder =
+        JsonEncoder().apply {
+            this.context = context
+            setWithSequenceNumber(false)
+            setWithNanoseconds(false)
+            setWithThreadName(false)
+            setWithContext(false)
+            setWithMarkers(false)
+            setWithMDC(false)
+            setWithArguments(false)
+            start()
+        }
+    val console =
+        ConsoleAppender<ILoggingEvent>().apply {
+            this.context = context
+            this.encoder = encoder
+            start()
+        }
+    val async =
+        AsyncAppender().apply {
+            this.context = context
+            queueSize = QUEUED_LINES
+            discardingThreshold = 0
+            isNeverBlock = true
+            maxFlushTime = FLUSH_TIMEOUT_MS
+            addAppender(console)
+            start()
+        }
+    val root = context.getLogger(Logger.ROOT_LOGGER_NAME)
+    root.level = Level.toLevel(level, Level.INFO)
+    root.addAppender(async)
+    listOf("org.xnio", "io.undertow", "org.jboss").forEach { context.getLogger(it).level = Level.WARN }
+}
--- a/kumquatmill-platform/src/main/kotlin/io/kumquatmill/platform/HttpStoreClient.kt
+++ b/kumquatmill-platform/src/main/kotlin/io/kumquatmill/platform/HttpStoreClient.kt
@@ -77,6 +77,7 @@
         null -> "done"
         is StoreError.Conflict -> "conflict"
         is StoreError.LeaseGone -> "lease-gone"
+        is StoreError.HistoryGone -> "history-gone"
         is StoreError.Rejected -> "rejected"
         is StoreError.Unavailable -> "unavailable"
         is StoreError.Unknown -> "unknown"
--- a/kumquatmill-platform/src/main/kotlin/io/kumquatmill/platform/StoreWire.kt
+++ b/kumquatmill-platform/src/main/kotlin/io/kumquatmill/platform/StoreWire.kt
@@ -40,7 +40,7 @@
         when (result.leftOrNull()) {
             null -> OK
             is StoreError.Conflict -> CONFLICT
-            is StoreError.LeaseGone -> GONE
+            is StoreError.LeaseGone, is StoreError.HistoryGone -> GONE
             is StoreError.Rejected -> BAD_REQUEST
             is StoreError.Unavailable -> UNAVAILABLE
             is StoreError.Unknown -> GATEWAY_TIMEOUT
--- a/kumquatmill-settings/src/main/kotlin/io/kumquatmill/settings/ini/IniFile.kt
+++ b/kumquatmill-settings/src/main/kotlin/io/kumquatmill/settings/ini/IniFile.kt
@@ -13,7 +13,7 @@
 import java.nio.file.Path
 
 /** Reads the sections of [file] in order, with repeated sections and keys kept. */
-internal fun readIni(file: Path): Either<SettingsError, List<IniSection>> {
+fun readIni(file: Path): Either<SettingsError, List<IniSection>> {
     val collector = SectionCollector(file)
     return try {
         Files.newBufferedReader(file).use { reader -> IniParser.newInstance(parserConfig()).parse(reader, collector) }
--- a/kumquatmill-settings/src/main/kotlin/io/kumquatmill/settings/ini/IniOption.kt
+++ b/kumquatmill-settings/src/main/kotlin/io/kumquatmill/settings/ini/IniOption.kt
@@ -1,7 +1,7 @@
 package io.kumquatmill.settings.ini
 
 /** One line `key = value` of an INI file. */
-internal data class IniOption(
+data class IniOption(
     val key: String,
     val value: String,
 )
--- a/kumquatmill-settings/src/main/kotlin/io/kumquatmill/settings/ini/IniSection.kt
+++ b/kumquatmill-settings/src/main/kotlin/io/kumquatmill/settings/ini/IniSection.kt
@@ -3,7 +3,7 @@
 import java.nio.file.Path
 
 /** A section of an INI file as written, with repeated keys kept. */
-internal data class IniSection(
+data class IniSection(
     val file: Path,
     val name: String,
     val options: List<IniOption>,
--- a/kumquatmill-settings/src/main/kotlin/io/kumquatmill/settings/section/ErrorLog.kt
+++ b/kumquatmill-settings/src/main/kotlin/io/kumquatmill/settings/section/ErrorLog.kt
@@ -3,7 +3,7 @@
 import io.kumquatmill.settings.SettingsError
 
 /** Collects the faults of all settings files, so that they are reported together. */
-internal class ErrorLog {
+class ErrorLog {
     private val collected = mutableListOf<SettingsError>()
 
     val errors: List<SettingsError>
--- a/kumquatmill-settings/src/main/kotlin/io/kumquatmill/settings/section/SectionReader.kt
+++ b/kumquatmill-settings/src/main/kotlin/io/kumquatmill/settings/section/SectionReader.kt
@@ -10,7 +10,7 @@
  * A faulty value reads as a stand-in of its type, so that reading goes on; the result is used only when no fault was noted.
  * After the last value, [finish] notes the keys that nobody asked for.
  */
-internal class SectionReader(
+class SectionReader(
     private val section: IniSection,
     private val errors: ErrorLog,
 ) {
--- a/kumquatmill-store/src/main/kotlin/io/kumquatmill/store/StoreCall.kt
+++ b/kumquatmill-store/src/main/kotlin/io/kumquatmill/store/StoreCall.kt
@@ -13,11 +13,16 @@
         val key: String,
     ) : StoreCall
 
-    /** Reads all entries whose key starts with [prefix]; answered by [StoreReply.Entries]. */
+    /**
+     * Reads the entries whose key starts with [prefix]; answered by [StoreReply.Entries].
+     *
+     * A reply may be one page of several: the next one starts after the key [afterKey].
+     */
     @Serializable
     @SerialName("read-prefix")
     data class ReadPrefix(
         val prefix: String,
+        val afterKey: String? = null,
     ) : StoreCall
 
     /**
--- a/kumquatmill-store/src/main/kotlin/io/kumquatmill/store/StoreError.kt
+++ b/kumquatmill-store/src/main/kotlin/io/kumquatmill/store/StoreError.kt
@@ -28,6 +28,16 @@
             get() = "lease ${lease.value} has lapsed: ask for a new lease"
     }
 
+    /** Changes that a watch asked for are no longer kept. */
+    @Serializable
+    @SerialName("history-gone")
+    data class HistoryGone(
+        val afterRevision: Long,
+    ) : StoreError {
+        override val message: String
+            get() = "changes after revision $afterRevision are no longer kept: read the prefix again"
+    }
+
     /** The service did not take the call; nothing was written. */
     @Serializable
     @SerialName("unavailable")
--- a/kumquatmill-store/src/main/kotlin/io/kumquatmill/store/StoreReply.kt
+++ b/kumquatmill-store/src/main/kotlin/io/kumquatmill/store/StoreReply.kt
@@ -14,12 +14,13 @@
         val revision: Long,
     ) : StoreReply
 
-    /** All entries under a prefix as of [revision]. */
+    /** Entries under a prefix as of [revision]; with [hasMore], further pages follow. */
     @Serializable
     @SerialName("entries")
     data class Entries(
         val entries: List<StoreEntry>,
         val revision: Long,
+        val hasMore: Boolean = false,
     ) : StoreReply
 
     /** A write took effect at [revision]. */
--- /dev/null
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/desk/Step.kt
@@ -0,0 +1,32 @@
+package io.kumquatmill.traffic.desk
+
+import io.kumquatmill.traffic.placement.WorkerTrack
+
+/** What to do next with a request. */
+sealed interface Step {
+    /**
+     * Send it to [track].
+     *
+     * @property timeoutMs time after which the caller gets a final answer
+     * @property needsNewConnection whether it may not meet a connection that could have gone silent
+     */
+    data class Send(
+        val track: WorkerTrack,
+        val timeoutMs: Long,
+        val needsNewConnection: Boolean,
+    ) : Step
+
+    /** Pass the worker's answer on. */
+    data object Deliver : Step
+
+    /** Refuse it: it has not run. The caller may come back after [retryAfterMs]. */
+    data class Refuse(
+        val reason: RefusalCause,
+        val retryAfterMs: Long,
+    ) : Step
+
+    /** End it without an answer of a worker: it may have run. */
+    data class Fail(
+        val detail: String,
+    ) : Step
+}
--- /dev/null
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/FleetBook.kt
@@ -0,0 +1,108 @@
+package io.kumquatmill.traffic.fleet
+
+import kotlin.math.max
+
+/**
+ * The hosts of the fleet as this host sees them.
+ *
+ * The store tells which hosts there are; whether one is alive follows from its reports alone, so that an outage of the store
+ * removes nobody and a dead host is not named for long.
+ *
+ * @param minFleetSize hosts that there are at least, as long as fewer are known
+ */
+class FleetBook(
+    private val self: KnownHost,
+    private val settings: FleetSettings = FleetSettings(),
+    private val minFleetSize: Int = 1,
+) {
+    private class Peer(
+        var known: KnownHost,
+        var firstSeenMs: Long,
+    ) {
+        var report: PeerReport? = null
+        var heardAtMs: Long? = null
+    }
+
+    private val peers = LinkedHashMap<String, Peer>()
+    private var heardAnyAtMs: Long? = null
+
+    /** Takes the records of hosts that the store holds. */
+    fun learn(
+        nowMs: Long,
+        hosts: Collection<KnownHost>,
+    ) {
+        hosts.filter { it.host != self.host }.forEach { record ->
+            val peer = peers.getOrPut(record.host) { Peer(record, nowMs) }
+            peer.known = record
+        }
+        val listed = hosts.mapTo(HashSet()) { it.host }
+        peers.entries.removeIf { (name, peer) ->
+            name !in listed && nowMs - (peer.heardAtMs ?: peer.firstSeenMs) > settings.forgetAfterMs
+        }
+    }
+
+    /** Takes a [report] of a peer; returns whether it is news, and not an earlier one that was overtaken. */
+    fun hear(
+        nowMs: Long,
+        report: PeerReport,
+    ): Boolean {
+        if (report.host == self.host) return false
+        val record = KnownHost(report.host, report.ip, report.region, report.availabilityZone)
+        val peer = peers.getOrPut(report.host) { Peer(record, nowMs) }
+        val last = peer.report
+        val isOld =
+            last != null &&
+                (report.incarnation < last.incarnation || (report.incarnation == last.incarnation && report.sequence <= last.sequence))
+        if (isOld) return false
+        peer.known = record
+        peer.report = report
+        peer.heardAtMs = nowMs
+        heardAnyAtMs = nowMs
+        return true
+    }
+
+    /** Peers to which reports go, also those that are silent. */
+    fun peers(): List<KnownHost> = peers.values.map { it.known }
+
+    /** Peers that were heard lately. */
+    fun livePeers(nowMs: Long): List<PeerReport> = peers.values.filter { isLive(nowMs, it) }.mapNotNull { it.report }
+
+    /** Hosts that there are, alive or not, this one included. */
+    fun size(): Int = max(minFleetSize, peers.size + 1)
+
+    /** Names of all known hosts, this one included. */
+    fun names(): Set<String> = peers.keys + self.host
+
+    /** Returns whether this host has heard none of its peers for so long that the others may have given its part away. */
+    fun isIsolated(nowMs: Long): Boolean {
+        if (peers.isEmpty()) return false
+        val heardAtMs = heardAnyAtMs ?: return true
+        return nowMs - heardAtMs > settings.isolatedAfterMs
+    }
+
+    /** Demand of [workspace] at the other hosts, a second; silent hosts count with their last one for a while. */
+    fun peerDemandPerS(
+        nowMs: Long,
+        workspace: String,
+    ): Double =
+        peers.values.sumOf { peer ->
+            val heardAtMs = peer.heardAtMs ?: return@sumOf 0.0
+            if (nowMs - heardAtMs > settings.retainDemandMs) 0.0 else (peer.report?.demandPerS?.get(workspace) ?: 0).toDouble()
+        }
+
+    /** Live hosts that serve, for callers of [region]: those of the region, or all when it has none. [isServing] is this host's own. */
+    fun hostsFor(
+        nowMs: Long,
+        region: String,
+        isServing: Boolean,
+    ): List<KnownHost> {
+        val live = peers.values.filter { isLive(nowMs, it) && it.report?.isServing == true }.map { it.known }
+        val all = if (isServing) live + self else live
+        return all.filter { it.region == region }.ifEmpty { all }
+    }
+
+    private fun isLive(
+        nowMs: Long,
+        peer: Peer,
+    ): Boolean = peer.heardAtMs?.let { nowMs - it <= settings.silentAfterMs } ?: false
+}
--- /dev/null
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/model/Workspace.kt
@@ -0,0 +1,20 @@
+package io.kumquatmill.traffic.model
+
+import io.kumquatmill.common.id.RegionId
+import io.kumquatmill.common.id.WorkspaceId
+
+/**
+ * A workspace of the desired state, with its keys and its allowance over all hosts together.
+ *
+ * @property ratePerS requests a second, 0 means no limit
+ * @property burst requests beyond the rate at once
+ * @property homeRegions regions in which its requests may run; empty means all
+ */
+data class Workspace(
+    val id: WorkspaceId,
+    val keys: Set<String>,
+    val ratePerS: Double,
+    val burst: Double,
+    val priority: Int,
+    val homeRegions: Set<RegionId>,
+)
