Keep keys at the workers that hold them when there is no room

Cause: under load a key went to any worker with a shorter queue. Hosts ranked remote workers over all zones, so their keys met other workers than those at which the hosts of these zones kept them.

Change: a worker that does not hold a key takes it only with spare slots; a request waits only as long as it can still meet its target; a remote key goes to a zone first and to that zone's own choice; callers that return go before new ones, and are told times that spread.

--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/desk/TrafficDesk.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/desk/TrafficDesk.kt
@@ -34,6 +34,7 @@
     private val placement = Placement(workers, settings.zones, AvailabilityZoneId(self.availabilityZone), settings.placement)
     private val retries = RetryAllowance(settings.retryRatio, settings.retryReserve, settings.retryWindowMs)
     private val splits = SplitCounter()
+    private val returns = ReturnWatch()
     private var state = SteeringState.empty
     private var routes = RouteIndex(emptyList())
     private var workspacesByKey: Map<String, Workspace> = emptyMap()
@@ -140,14 +141,17 @@
         if (waitMs != null) return null to Step.Refuse(RefusalCause.OVER_ALLOWANCE, waitMs)
         val upstream = splits.next(route) ?: return null to Step.Refuse(RefusalCause.NO_WORKER, NO_WORKER_RETRY_MS)
         val patienceMs = min(route.timeoutMs ?: Long.MAX_VALUE, deadlineMs ?: DEFAULT_DEADLINE_MS)
+        val requestHash = stableHash(requestId)
         val request =
             TrafficRequest(
                 route = route,
                 workspace = known.workspace,
                 upstream = upstream,
                 endsAtMs = nowMs + patienceMs,
-                keyHash = stableHash(if (objectKey == null) requestId else "${route.id.value}/$objectKey"),
+                keyHash = if (objectKey == null) requestHash else stableHash("${route.id.value}/$objectKey"),
                 isKeyed = objectKey != null,
+                requestHash = requestHash,
+                isReturning = deadlineMs != null && returns.isReturning(route.id, deadlineMs),
                 rank = priorities.indexOf(route.priority).coerceAtLeast(0),
             )
         return request to next(nowMs, request, lastFailure = null)
@@ -300,6 +304,8 @@
         upstream = request.upstream,
         keyHash = request.keyHash,
         isKeyed = request.isKeyed,
+        requestHash = request.requestHash,
+        isReturning = request.isReturning,
         homeRegions = homesOf(request.route, request.workspace),
         triedWorkers = request.triedWorkers,
         timeLeftMs = request.endsAtMs - nowMs,
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/desk/TrafficRequest.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/desk/TrafficRequest.kt
@@ -15,6 +15,8 @@
     val endsAtMs: Long,
     internal val keyHash: Long,
     internal val isKeyed: Boolean,
+    internal val requestHash: Long,
+    internal val isReturning: Boolean,
     internal val rank: Int,
 ) {
     /** Sendings so far. */
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
@@ -6,6 +6,7 @@
 import io.kumquatmill.common.id.UpstreamId
 import io.kumquatmill.traffic.allowance.DemandMeter
 import io.kumquatmill.traffic.model.TrafficRoute
+import kotlin.math.ln
 import kotlin.math.max
 import kotlin.math.min
 
@@ -41,6 +42,7 @@
         val waitMs: Double,
         val runMs: Double,
         val costMs: Double,
+        val hasRoom: Boolean,
     )
 
     private val ownRegion: RegionId? = zones[ownZone]
@@ -75,9 +77,9 @@
         val isLocalKey = position(query.keyHash) < usage.localShare.value
         val chosen =
             when {
-                local.isEmpty() -> best(nowMs, query, listOf(remote))
-                isLocalKey -> bestLocal(nowMs, query, usage, local) ?: spilled(nowMs, query, usage, remote)
-                else -> best(nowMs, query, listOf(remote)) ?: bestLocal(nowMs, query, usage, local)
+                local.isEmpty() -> best(query, remoteCandidates(nowMs, query, remote))
+                isLocalKey -> best(query, localCandidates(nowMs, query, usage, local)) ?: spilled(nowMs, query, usage, remote)
+                else -> best(query, remoteCandidates(nowMs, query, remote)) ?: best(query, localCandidates(nowMs, query, usage, local))
             }
         return chosen?.let { PlacementChoice.Chosen(it.track, it.waitMs, it.runMs) } ?: noRoom(nowMs, query, usable)
     }
@@ -113,84 +115,117 @@
         query: PlacementQuery,
     ): Boolean = !track.isLeaving && (query.homeRegions == null || regionOf(track) in query.homeRegions)
 
-    private fun bestLocal(
+    private fun spilled(
+        nowMs: Long,
+        query: PlacementQuery,
+        usage: Usage,
+        remote: List<WorkerTrack>,
+    ): Candidate? = if (remote.isNotEmpty() && usage.spill.mayLeave(nowMs)) best(query, remoteCandidates(nowMs, query, remote)) else null
+
+    /** Workers of the own zone, then of the region's other zones; all as one group where a zone alone can't keep the keys warm. */
+    private fun localCandidates(
         nowMs: Long,
         query: PlacementQuery,
         usage: Usage,
         local: List<WorkerTrack>,
-    ): Candidate? {
+    ): List<Candidate> {
         val (ownZoneWorkers, others) = local.partition { it.entry.availabilityZone == ownZone }
         val keys = max(usage.keysBefore, usage.keysSeen.size) * usage.localShare.value
         val isZoneEnough = ownZoneWorkers.size * settings.warmKeysPerWorker >= keys
-        return best(nowMs, query, if (isZoneEnough) listOf(ownZoneWorkers, others) else listOf(local))
+        if (!isZoneEnough) return candidates(nowMs, query, local, settings.candidatesPerZone, otherZoneMs = 0.0)
+        return candidates(nowMs, query, ownZoneWorkers, settings.candidatesPerZone, otherZoneMs = 0.0) +
+            byZone(others).flatMap { candidates(nowMs, query, it, 1, settings.otherZoneMs) }
     }
 
-    private fun spilled(
+    /** The best workers of the two zones that the key prefers: the same at which the hosts of these zones keep it warm. */
+    private fun remoteCandidates(
         nowMs: Long,
         query: PlacementQuery,
-        usage: Usage,
         remote: List<WorkerTrack>,
-    ): Candidate? = if (remote.isNotEmpty() && usage.spill.mayLeave(nowMs)) best(nowMs, query, listOf(remote)) else null
+    ): List<Candidate> =
+        byZone(remote)
+            .sortedByDescending { zone -> zoneScore(query.keyHash, zone) }
+            .take(REMOTE_ZONES)
+            .flatMapIndexed { index, zone -> candidates(nowMs, query, zone, settings.candidatesPerZone, index * settings.otherZoneMs) }
 
-    /** Returns the cheapest worker of [groups] at which the request need not wait too long. */
-    private fun best(
+    private fun byZone(tracks: List<WorkerTrack>): Collection<List<WorkerTrack>> = tracks.groupBy { it.entry.availabilityZone }.values
+
+    /** Rendezvous score of a zone, weighted by its slots. */
+    private fun zoneScore(
+        keyHash: Long,
+        zone: List<WorkerTrack>,
+    ): Double {
+        val draw = unit(combineHashes(keyHash, zone.first().zoneHash))
+        return -zone.sumOf { it.entry.slots } / ln(max(draw, Double.MIN_VALUE))
+    }
+
+    private fun candidates(
         nowMs: Long,
         query: PlacementQuery,
-        groups: List<List<WorkerTrack>>,
-    ): Candidate? =
-        groups
-            .flatMapIndexed { index, group ->
-                ranked(query.keyHash, group).mapIndexed { rank, track -> candidate(nowMs, query, track, rank, isOtherZone = index > 0) }
-            }.filter { isInTime(query, it) }
-            .minByOrNull { it.costMs }
+        group: List<WorkerTrack>,
+        most: Int,
+        otherZoneMs: Double,
+    ): List<Candidate> = ranked(query.keyHash, group, most).mapIndexed { rank, track -> candidate(nowMs, query, track, rank, otherZoneMs) }
 
     private fun candidate(
         nowMs: Long,
         query: PlacementQuery,
         track: WorkerTrack,
         rank: Int,
-        isOtherZone: Boolean,
+        otherZoneMs: Double,
     ): Candidate {
-        val isWarm = query.isKeyed && (rank == 0 && !isOtherZone || track.holds(query.keyHash))
+        val isWarm = query.isKeyed && (rank == 0 || track.holds(query.keyHash))
         val coldFactor = if (track.isCold(nowMs)) settings.coldFactor else 1.0
         val runMs = runTimes.expectedMs(query.route, isWarm) * coldFactor * track.slownessFactor(nowMs) + wayMs(track)
         val waitMs = track.waitMs(nowMs)
         val failureMs = track.failurePart(nowMs) * query.route.targetLatencyMs * FAILURE_WEIGHT
-        val placeMs = rank * settings.rankStepMs + if (isOtherZone) settings.otherZoneMs else 0.0
-        return Candidate(track, waitMs, runMs, waitMs + runMs + failureMs + placeMs)
+        val hasRoom = isWarm || !query.isKeyed || track.load(nowMs) < track.entry.slots * settings.spareSlotsPart
+        return Candidate(track, waitMs, runMs, waitMs + runMs + failureMs + rank * settings.rankStepMs + otherZoneMs, hasRoom)
     }
 
-    /** A request may wait for a part of its target, by urgency, and must be expected to end before it is given up. */
+    private fun best(
+        query: PlacementQuery,
+        candidates: List<Candidate>,
+    ): Candidate? = candidates.filter { it.hasRoom && isInTime(query, it) }.minByOrNull { it.costMs }
+
+    /** With a free slot a request must be expected to end before it is given up; it waits only while it can still meet its target. */
     private fun isInTime(
         query: PlacementQuery,
         candidate: Candidate,
     ): Boolean {
         val runMs = if (runTimes.isKnown(query.route)) candidate.runMs * RUN_PART else 0.0
-        return candidate.waitMs <= waitLimitMs(query) && candidate.waitMs + runMs <= query.timeLeftMs
+        return candidate.waitMs <= waitLimitMs(query, candidate) && candidate.waitMs + runMs <= query.timeLeftMs
     }
 
-    private fun waitLimitMs(query: PlacementQuery): Double =
-        query.route.targetLatencyMs * settings.waitParts[min(query.rank, settings.waitParts.lastIndex)]
+    private fun waitLimitMs(
+        query: PlacementQuery,
+        candidate: Candidate,
+    ): Double {
+        val rank = if (query.isReturning) 0 else min(query.rank, settings.waitParts.lastIndex)
+        return max(0.0, query.route.targetLatencyMs - candidate.runMs) * settings.waitParts[rank]
+    }
 
     private fun ranked(
         keyHash: Long,
         group: List<WorkerTrack>,
+        most: Int,
     ): List<WorkerTrack> {
         if (group.size <= 1) return group
         return group
             .map { it to combineHashes(keyHash, it.nameHash) }
             .sortedByDescending { it.second }
-            .take(settings.candidatesPerGroup)
+            .take(most)
             .map { it.first }
     }
 
+    /** Callers that come back are spread over as long as the wait again, so that they do not meet. */
     private fun noRoom(
         nowMs: Long,
         query: PlacementQuery,
         usable: List<WorkerTrack>,
     ): PlacementChoice {
-        val shortestMs = usable.minOf { it.waitMs(nowMs) } - waitLimitMs(query)
-        return PlacementChoice.NoRoom(max(MIN_RETRY_MS, shortestMs.toLong()))
+        val shortestMs = max(MIN_RETRY_MS, usable.minOf { it.waitMs(nowMs) })
+        return PlacementChoice.NoRoom((shortestMs * (1 + unit(combineHashes(query.requestHash, SPREAD_SALT)))).toLong())
     }
 
     /** What this region can bear, by slots and by warm objects, as a part of what its callers ask. */
@@ -224,7 +259,10 @@
     private fun wayMs(track: WorkerTrack): Double = if (regionOf(track) == ownRegion) 0.0 else settings.otherRegionMs
 
     /** Position of a key in 0..1, independent of its rank among workers. */
-    private fun position(keyHash: Long): Double = (combineHashes(keyHash, POSITION_SALT) ushr SHIFT) / POSITIONS
+    private fun position(keyHash: Long): Double = unit(combineHashes(keyHash, POSITION_SALT))
+
+    /** Maps a hash to 0..1. */
+    private fun unit(hash: Long): Double = (hash ushr SHIFT) / POSITIONS
 
     private companion object {
         const val MILLIS_PER_SECOND = 1_000.0
@@ -244,7 +282,13 @@
 
         /** Times beyond this many times the expected one tell of a worker, not of a route. */
         const val OUTLIER = 4.0
-        const val MIN_RETRY_MS = 150L
+
+        /** A slot gets free within about a request's run; coming back sooner meets the same queue. */
+        const val MIN_RETRY_MS = 300.0
+
+        /** A key that runs in another region has a second zone there for when the first has no room. */
+        const val REMOTE_ZONES = 2
+        const val SPREAD_SALT = 0x2545F4914F6CDD1DL
         const val PAUSE_RETRY_MS = 400L
         const val POSITION_SALT = 0x5851F42D4C957F2DL
         const val SHIFT = 11
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/PlacementQuery.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/PlacementQuery.kt
@@ -10,6 +10,8 @@
  *
  * @property keyHash hash of the object's key, or of the request where it has none
  * @property isKeyed whether [keyHash] belongs to an object that other requests share
+ * @property requestHash hash of the request itself
+ * @property isReturning whether the caller came back after an earlier answer
  * @property homeRegions regions in which it may run; null means all
  * @property triedWorkers workers that had it already
  * @property timeLeftMs time until its answer is no longer wanted
@@ -20,6 +22,8 @@
     val upstream: UpstreamId,
     val keyHash: Long,
     val isKeyed: Boolean,
+    val requestHash: Long,
+    val isReturning: Boolean,
     val homeRegions: Set<RegionId>?,
     val triedWorkers: Set<WorkerId>,
     val timeLeftMs: Long,
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/PlacementSettings.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/PlacementSettings.kt
@@ -3,9 +3,11 @@
 /** Weights and times of the placement. Latencies are what a request pays for the way, as the platform states them. */
 data class PlacementSettings(
     /** Objects that a worker is taken to keep warm: workers keep some tens, and a host sees a part of them only. */
-    val warmKeysPerWorker: Int = 45,
-    /** Workers of a group that a key may use, the best ranked first; more would spread a key over cold workers. */
-    val candidatesPerGroup: Int = 3,
+    val warmKeysPerWorker: Int = 25,
+    /** Workers of a zone that a key may use, the best ranked first; more would spread a key over workers that do not hold it. */
+    val candidatesPerZone: Int = 2,
+    /** Part of its slots that may be busy at a worker that takes a key it does not hold: that run is several times as long. */
+    val spareSlotsPart: Double = 0.7,
     /** What the next ranked worker costs beyond its expected time, so that an idle group always serves a key at the same worker. */
     val rankStepMs: Double = 20.0,
     /** What a worker of another zone costs beyond its expected time: its bytes are charged, and its zone has callers too. */
@@ -29,10 +31,10 @@
     val failuresToPause: Int = 3,
     /** How long another host's load at a worker is believed after the worker's report of it. */
     val reportedLoadMs: Long = 1_500,
-    /** Wait in a worker's queue that requests bear, as parts of their target latency, by rank of their route, the most urgent first. */
+    /** Part of the time that a request has to spare that it may wait, by rank of its route, the most urgent first. */
     val waitParts: List<Double> = DEFAULT_WAIT_PARTS,
 ) {
     private companion object {
-        val DEFAULT_WAIT_PARTS = listOf(0.8, 0.5, 0.3)
+        val DEFAULT_WAIT_PARTS = listOf(0.9, 0.7, 0.5)
     }
 }
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/WorkerTrack.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/WorkerTrack.kt
@@ -19,6 +19,9 @@
     /** Hash of the worker's name, for rendezvous hashing. */
     val nameHash: Long = stableHash(entry.id.value)
 
+    /** Hash of the worker's zone. */
+    val zoneHash: Long = stableHash(entry.availabilityZone.value)
+
     /** Requests of this host that are at the worker. */
     var inFlight: Int = 0
         private set
