--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
@@ -23,8 +23,10 @@
 import org.xnio.Options
 import org.xnio.Xnio
 import org.xnio.XnioIoThread
+import java.io.IOException
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
 import kotlin.random.Random
 
 /**
@@ -63,7 +65,7 @@
         }
     }
     private val cache = StateCache(adapter.keys, adapter.decoder)
-    private val belief = HostBelief(cache, desk, clock, log)
+    private val belief = HostBelief(cache, desk, clock, log) { openToCallers() }
     private val followers =
         adapter.keys.followedPrefixes.map { StoreFollower(it, sendStoreCall, ::runAfter, belief, random) }
     private val registration =
@@ -80,10 +82,11 @@
         FleetTalk(settings, desk, cache, belief, client, peerSocket, clock, log, adapter.keys.followedPrefixes) { isServing }
     private val servers = GatewayServers(settings, adapter, worker, buffers, callers, desk, cache, metrics, clock) { isServing }
     private var isDraining = false
+    private var isOpen = false
     private val stopped = CompletableFuture<Boolean>()
 
     private val isServing: Boolean
-        get() = desk.isReady && !isDraining
+        get() = isOpen && desk.isReady && !isDraining
 
     /** Starts to listen and to follow the store; throws when an address can't be bound. */
     fun start() {
@@ -135,6 +138,23 @@
         client.sweep()
     }
 
+    /** Opens the callers' address when the first desired state is known; off the loop, since binding waits for it. */
+    private fun openToCallers() {
+        thread(name = "open", isDaemon = true) {
+            try {
+                servers.openToCallers()
+                loop.execute {
+                    isOpen = true
+                    fleetTalk.report()
+                    log.note("callers' address open", "callers" to settings.callers)
+                }
+            } catch (e: IOException) {
+                log.warn("callers' address can't be opened", "callers" to settings.callers, "detail" to e.message)
+                stopped.complete(false)
+            }
+        }
+    }
+
     private fun runAfter(
         delayMs: Long,
         task: () -> Unit,
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/GatewayServers.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/GatewayServers.kt
@@ -23,8 +23,8 @@
 internal class GatewayServers(
     private val settings: GatewaySettings,
     private val adapter: GatewayAdapter,
-    worker: XnioWorker,
-    buffers: ByteBufferPool,
+    private val worker: XnioWorker,
+    private val buffers: ByteBufferPool,
     callers: HttpHandler,
     private val desk: TrafficDesk,
     private val cache: StateCache,
@@ -32,7 +32,22 @@
     private val clock: MonotonicClock,
     private val isServing: () -> Boolean,
 ) {
-    private val undertow =
+    private val own =
+        builder()
+            .listen(settings.readiness, HttpHandler { ready(it) })
+            .listen(settings.directory, HttpHandler { directory(it) })
+            .listen(settings.peerCalls, HttpHandler { peer(it) })
+            .apply { settings.metricsPort?.let { port -> listen(HostAddress(settings.self.ip, port), HttpHandler { metrics(it) }) } }
+            .build()
+    private val forCallers = builder().listen(settings.callers, HttpContinueReadHandler(callers)).build()
+
+    /** Opens all addresses but that of callers. */
+    fun start() = own.start()
+
+    /** Opens the address of callers; a caller that finds it closed before tries another host at once. */
+    fun openToCallers() = forCallers.start()
+
+    private fun builder(): Undertow.Builder =
         Undertow
             .builder()
             .setWorker(worker)
@@ -44,14 +59,6 @@
             .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MS)
             .setServerOption(UndertowOptions.ENABLE_HTTP2, false)
             .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-            .listen(settings.callers, HttpContinueReadHandler(callers))
-            .listen(settings.readiness, HttpHandler { ready(it) })
-            .listen(settings.directory, HttpHandler { directory(it) })
-            .listen(settings.peerCalls, HttpHandler { peer(it) })
-            .apply { settings.metricsPort?.let { port -> listen(HostAddress(settings.self.ip, port), HttpHandler { metrics(it) }) } }
-            .build()
-
-    fun start() = undertow.start()
 
     private fun Undertow.Builder.listen(
         address: HostAddress,
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/HostBelief.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/HostBelief.kt
@@ -15,8 +15,10 @@
     private val desk: TrafficDesk,
     private val clock: MonotonicClock,
     private val log: EventLog,
+    private val onFirstReady: () -> Unit,
 ) : StoreListener {
     private var wasReady = false
+    private var wasEverReady = false
 
     /** Whether the store failed lately. */
     var isStoreAway: Boolean = false
@@ -84,6 +86,8 @@
         if (cache.unreadableKeys.isNotEmpty()) log.warn("entries can't be read", "keys" to cache.unreadableKeys)
         if (desk.isReady != wasReady) {
             wasReady = desk.isReady
+            if (wasReady && !wasEverReady) onFirstReady()
+            wasEverReady = wasEverReady || wasReady
             log.note("readiness changed", "isReady" to wasReady, "version" to desk.version, "workers" to state.workers.size)
         }
         log.note(
