Learn slow workers from time-outs and let a busy workspace keep its tokens used

Change: a request without an answer counts as a slow one; a worker whose oldest request is twice over the mean counts as slow for the next; a request that was refused before any worker saw it keeps its token.

--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/desk/TrafficDesk.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/desk/TrafficDesk.kt
@@ -204,7 +204,7 @@
         val sending = request.current ?: return
         request.current = null
         sending.track.onEnded(sending.sentAtMs)
-        if (isWorkerSlow) sending.track.onFailed(nowMs, isUnreachable = false)
+        if (isWorkerSlow) placement.onTimedOut(nowMs, request.route, sending.track, sending.wasWarm, (nowMs - sending.sentAtMs).toDouble())
     }
 
     private fun answered(
@@ -292,7 +292,8 @@
         cause: RefusalCause,
         retryAfterMs: Long,
     ): Step.Refuse {
-        request.workspace?.let { allowances.giveBack(nowMs, it.id) }
+        // A request that no worker saw keeps its token: else a workspace far above its rate would press on without end.
+        if (request.attempts > 0) request.workspace?.let { allowances.giveBack(nowMs, it.id) }
         return Step.Refuse(cause, retryAfterMs)
     }
 
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
@@ -110,6 +110,15 @@
         if (isFair && runMs < expectedMs * OUTLIER) runTimes.observe(route, wasWarm, runMs)
     }
 
+    /** Notes that a worker had no answer to a request of [route] after [tookMs]. */
+    fun onTimedOut(
+        nowMs: Long,
+        route: TrafficRoute,
+        track: WorkerTrack,
+        wasWarm: Boolean,
+        tookMs: Double,
+    ) = track.onTimedOut(nowMs, tookMs / runTimes.expectedMs(route, wasWarm))
+
     private fun isAllowed(
         track: WorkerTrack,
         query: PlacementQuery,
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/WorkerTrack.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/WorkerTrack.kt
@@ -111,10 +111,16 @@
         pausedUntilMs = Long.MIN_VALUE
         meanRunMs = if (meanRunMs == 0.0) tookMs else meanRunMs + LEARNING * (tookMs - meanRunMs)
         noteFailure(nowMs, 0.0)
-        if (ratio == null) return
-        val remembered = 1.0 + (slowness - 1.0) * exp(-(nowMs - slownessAtMs) / MEMORY_MS)
-        slowness = remembered + LEARNING * (min(ratio, MAX_SLOWNESS) - remembered)
-        slownessAtMs = nowMs
+        if (ratio != null) noteSlowness(nowMs, ratio)
+    }
+
+    /** The worker took [ratio] times the expected time and has not answered. */
+    internal fun onTimedOut(
+        nowMs: Long,
+        ratio: Double,
+    ) {
+        noteSlowness(nowMs, max(ratio, TIMED_OUT_RATIO))
+        onFailed(nowMs, isUnreachable = false)
     }
 
     internal fun onLoad(
@@ -149,6 +155,15 @@
         isLeaving = true
     }
 
+    private fun noteSlowness(
+        nowMs: Long,
+        ratio: Double,
+    ) {
+        val remembered = 1.0 + (slowness - 1.0) * exp(-(nowMs - slownessAtMs) / MEMORY_MS)
+        slowness = remembered + LEARNING * (min(ratio, MAX_SLOWNESS) - remembered)
+        slownessAtMs = nowMs
+    }
+
     private fun noteFailure(
         nowMs: Long,
         value: Double,
@@ -171,7 +186,10 @@
         const val MEMORY_MS = 4_000.0
 
         /** A request may take this much longer than the mean before its worker counts as slow for it. */
-        const val PATIENCE = 3.0
+        const val PATIENCE = 2.0
+
+        /** An unanswered request tells of a slow worker, however long it was expected to run. */
+        const val TIMED_OUT_RATIO = 3.0
         const val MIN_SLOWNESS = 0.5
         const val MAX_SLOWNESS = 12.0
         const val MAX_DOUBLINGS = 8
