--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
@@ -80,7 +80,7 @@
                 target = target,
                 headers = headers + ownHeaders,
                 body = body,
-                needsNewConnection = step.needsNewConnection,
+                maxIdleMs = step.maxIdleMs,
                 connectTimeoutMs = minOf(CONNECT_TIMEOUT_MS, step.timeoutMs),
             )
         call = context.client.send(httpCall) { onEnd(it) }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/HttpCall.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/HttpCall.kt
@@ -6,7 +6,7 @@
  * One request over HTTP/1.1 that is sent at most once.
  *
  * @property target path and query exactly as they go on the wire
- * @property needsNewConnection whether a kept connection, which may have gone silent, is not good enough
+ * @property maxIdleMs how long a kept connection may have waited, since it may have gone silent meanwhile; 0 asks for a new one
  * @property timeoutMs time until the whole answer must be there, or null when the caller cancels by itself
  */
 class HttpCall(
@@ -15,7 +15,7 @@
     val target: String,
     val headers: List<Pair<String, String>> = emptyList(),
     val body: ByteArray = EMPTY,
-    val needsNewConnection: Boolean = false,
+    val maxIdleMs: Long = Long.MAX_VALUE,
     val connectTimeoutMs: Long,
     val timeoutMs: Long? = null,
 ) {
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/IdleConnections.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/IdleConnections.kt
@@ -11,17 +11,24 @@
 ) {
     private class Idle(
         val connection: ClientConnection,
+        val sinceMs: Long,
         val usableUntilMs: Long,
     )
 
     private val idleByAddress = HashMap<HostAddress, ArrayDeque<Idle>>()
 
-    /** Returns an open connection to [address], or null. */
-    fun take(address: HostAddress): ClientConnection? {
+    /** Returns an open connection to [address] that has waited for less than [maxIdleMs], or null. */
+    fun take(
+        address: HostAddress,
+        maxIdleMs: Long,
+    ): ClientConnection? {
         val idle = idleByAddress[address] ?: return null
+        val nowMs = clock.nowMs()
         while (true) {
-            val last = idle.removeLastOrNull() ?: return null
-            if (last.connection.isOpen && clock.nowMs() < last.usableUntilMs) return last.connection
+            val last = idle.lastOrNull() ?: return null
+            if (nowMs - last.sinceMs >= maxIdleMs) return null
+            idle.removeLast()
+            if (last.connection.isOpen && nowMs < last.usableUntilMs) return last.connection
             IoUtils.safeClose(last.connection)
         }
     }
@@ -36,7 +43,7 @@
         if (idleMs <= 0 || idle.size >= MAX_IDLE_PER_ADDRESS) {
             IoUtils.safeClose(connection)
         } else {
-            idle.addLast(Idle(connection, clock.nowMs() + idleMs))
+            idle.addLast(Idle(connection, clock.nowMs(), clock.nowMs() + idleMs))
         }
     }
 
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/LoopClient.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/LoopClient.kt
@@ -47,14 +47,27 @@
         private val timer = call.timeoutMs?.let { loop.executeAfter({ timedOut(it) }, it, TimeUnit.MILLISECONDS) }
 
         fun start() {
-            val kept = if (call.needsNewConnection) null else idle.take(call.address)
+            val kept = idle.take(call.address, call.maxIdleMs)
             if (kept != null) transmit(kept) else connect()
         }
 
         override fun cancel() {
             if (isDone) return
             finish()
-            IoUtils.safeClose(connection)
+            abort()
+        }
+
+        /**
+         * Closes the socket at once. The connection's own close only ends its sending side and waits for the rest of the answer, so
+         * the worker would go on with the request.
+         */
+        private fun abort() {
+            val used = connection ?: return
+            try {
+                IoUtils.safeClose(used.performUpgrade())
+            } catch (_: IOException) {
+                IoUtils.safeClose(used) // it is closed already
+            }
         }
 
         private fun connect() {
@@ -90,7 +103,7 @@
         private fun broken(detail: String) {
             if (isDone) return
             finish()
-            IoUtils.safeClose(connection)
+            abort()
             idle.drop(call.address)
             onEnd(CallEnd.Broken(detail))
         }
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/http/LoopClientTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/http/LoopClientTest.kt
@@ -6,12 +6,14 @@
 import org.xnio.OptionMap
 import org.xnio.Options
 import org.xnio.Xnio
+import java.io.IOException
 import java.net.ServerSocket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
 import kotlin.test.assertIs
 import kotlin.test.assertNotEquals
 import kotlin.test.assertTrue
@@ -30,7 +32,7 @@
         method: String = "GET",
         target: String = "/a",
         body: String = "",
-        needsNewConnection: Boolean = false,
+        maxIdleMs: Long = Long.MAX_VALUE,
         timeoutMs: Long = 3_000,
     ): CallEnd {
         val end = CompletableFuture<CallEnd>()
@@ -41,7 +43,7 @@
                 target = target,
                 headers = listOf("Host" to "shop.example"),
                 body = body.toByteArray(),
-                needsNewConnection = needsNewConnection,
+                maxIdleMs = maxIdleMs,
                 connectTimeoutMs = 500,
                 timeoutMs = timeoutMs,
             )
@@ -71,7 +73,7 @@
     fun `a kept connection is used again, unless a new one is asked for`() =
         withServer({ write(whole) }) { server ->
             repeat(2) { answered(send(server.address)) }
-            answered(send(server.address, needsNewConnection = true))
+            answered(send(server.address, maxIdleMs = 0))
             val sockets = server.requests.map { it.socket.port }
             assertEquals(sockets[0], sockets[1])
             assertNotEquals(sockets[1], sockets[2])
@@ -189,6 +191,15 @@
             val socket = server.requests.single().socket
             socket.soTimeout = 2_000
             assertEquals(-1, socket.getInputStream().read())
+            // A socket that is closed in both directions resets what its peer still sends.
+            assertFailsWith<IOException> {
+                repeat(20) {
+                    server.requests
+                        .single()
+                        .write("x")
+                        .also { Thread.sleep(10) }
+                }
+            }
             assertTrue(!ended.isDone)
         }
 
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/desk/Step.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/desk/Step.kt
@@ -8,12 +8,12 @@
      * Send it to [track].
      *
      * @property timeoutMs time after which the caller gets a final answer
-     * @property needsNewConnection whether it may not meet a connection that could have gone silent
+     * @property maxIdleMs how long a kept connection may have waited for it; 0 asks for a new one
      */
     data class Send(
         val track: WorkerTrack,
         val timeoutMs: Long,
-        val needsNewConnection: Boolean,
+        val maxIdleMs: Long,
     ) : Step
 
     /** Pass the worker's answer on. */
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/desk/TrafficDesk.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/desk/TrafficDesk.kt
@@ -283,7 +283,7 @@
         request.runs++
         request.triedWorkers += track.entry.id
         placement.onSent(nowMs, query, track)
-        return Step.Send(track, query.timeLeftMs, needsNewConnection = !request.route.isRepeatable)
+        return Step.Send(track, query.timeLeftMs, if (request.route.isRepeatable) Long.MAX_VALUE else PROVEN_IDLE_MS)
     }
 
     private fun refuse(
@@ -334,6 +334,9 @@
 
         /** A worker can't answer in less. */
         const val MIN_TIME_LEFT_MS = 20L
+
+        /** A request that may run once only meets a kept connection that carried an answer within this time, as proof of its life. */
+        const val PROVEN_IDLE_MS = 1_000L
         const val NO_WORKER_RETRY_MS = 1_000L
         const val TURNED_AWAY_RETRY_MS = 300L
     }
