--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
@@ -79,7 +79,9 @@
             when {
                 local.isEmpty() -> best(query, remoteCandidates(nowMs, query, remote))
                 isLocalKey -> best(query, localCandidates(nowMs, query, usage, local)) ?: spilled(nowMs, query, usage, remote)
-                else -> best(query, remoteCandidates(nowMs, query, remote)) ?: best(query, localCandidates(nowMs, query, usage, local))
+                else ->
+                    best(query, remoteCandidates(nowMs, query, remote))
+                        ?: kept(nowMs, query, usage, local, hasRemote = remote.isNotEmpty())
             }
         return chosen?.let { PlacementChoice.Chosen(it.track, it.waitMs, it.runMs) } ?: noRoom(nowMs, query, usable)
     }
@@ -131,6 +133,14 @@
         remote: List<WorkerTrack>,
     ): Candidate? = if (remote.isNotEmpty() && usage.spill.mayLeave(nowMs)) best(query, remoteCandidates(nowMs, query, remote)) else null
 
+    private fun kept(
+        nowMs: Long,
+        query: PlacementQuery,
+        usage: Usage,
+        local: List<WorkerTrack>,
+        hasRemote: Boolean,
+    ): Candidate? = if (!hasRemote || usage.spill.mayStay(nowMs)) best(query, localCandidates(nowMs, query, usage, local)) else null
+
     /** Workers of the own zone, then of the region's other zones; all as one group where a zone alone can't keep the keys warm. */
     private fun localCandidates(
         nowMs: Long,
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/PlacementSettings.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/PlacementSettings.kt
@@ -18,8 +18,8 @@
     val coldFactor: Double = 2.0,
     /** Part of the region's slots that its own requests may fill before keys move to other regions. */
     val localUtilization: Double = 0.8,
-    /** Most that the part of keys that stay in the region moves in a second; two windows of the cap on shifts bear it. */
-    val localShareStepPerS: Double = 0.04,
+    /** Most that the part of keys that stay in the region moves in a second: in a window of the cap on shifts, two fifths of the cap. */
+    val localShareStepPerS: Double = 0.03,
     /** Growth of the part that spills to other regions from one window to the next, beyond that of the keys. */
     val spillStep: Double = 0.04,
     /** Length of these windows, as the cap on shifts is judged. */
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/SpillGuard.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/SpillGuard.kt
@@ -1,10 +1,10 @@
 package io.kumquatmill.traffic.placement
 
 /**
- * Bounds how fast requests spill into other regions when their own has no room.
+ * Bounds how fast the part of requests that runs in other regions changes, both ways.
  *
- * Pattern answered: a burst fills a region at once. The part that runs elsewhere may grow from one window to the next by a step;
- * what is beyond it is turned away, and comes back to find the room that the next step opens.
+ * Pattern answered: a burst fills a region at once. The part that runs elsewhere may grow or fall from one window to the next by a
+ * step; what is beyond it is turned away, and comes back to find the room that the next step opens.
  */
 class SpillGuard(
     private val windowMs: Long,
@@ -21,6 +21,12 @@
         return elsewhere + 1 <= (partBefore + step) * (total + 1)
     }
 
+    /** Returns whether one more request that belongs elsewhere may run in its own region instead. */
+    fun mayStay(nowMs: Long): Boolean {
+        roll(nowMs)
+        return elsewhere >= (partBefore - step) * (total + 1)
+    }
+
     /** Counts a request that was sent to a worker. */
     fun count(
         nowMs: Long,
