--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
@@ -30,7 +30,7 @@
         settings: PlacementSettings,
     ) {
         val localShare = LocalShare(first, settings.localShareStepPerS)
-        val spill = SpillGuard(settings.spillWindowMs, settings.spillStep)
+        val spill = SpillGuard(settings.spillWindowMs, settings.spillStep, firstPart = 1 - localShare.value)
         val work = DemandMeter(DEMAND_WINDOW_MS)
         var keysSeen = HashSet<Long>()
         var keysBefore = 0
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/SpillGuard.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/SpillGuard.kt
@@ -5,15 +5,18 @@
  *
  * Pattern answered: a burst fills a region at once. The part that runs elsewhere may grow or fall from one window to the next by a
  * step; what is beyond it is turned away, and comes back to find the room that the next step opens.
+ *
+ * @param firstPart part that runs elsewhere before any request was seen
  */
 class SpillGuard(
     private val windowMs: Long,
     private val step: Double,
+    firstPart: Double,
 ) {
     private var windowStartMs = 0L
     private var total = 0
     private var elsewhere = 0
-    private var partBefore = 0.0
+    private var partBefore = firstPart
 
     /** Returns whether one more request may run in another region. */
     fun mayLeave(nowMs: Long): Boolean {
