--- a/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/UpstreamRequest.kt
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/UpstreamRequest.kt
@@ -4,27 +4,14 @@
 import arrow.core.left
 import arrow.core.right
 import io.kumquatmill.common.http.HeaderNames
+import io.kumquatmill.gateway.caller.hopByHopHeaders
 import org.http4k.core.Headers
 import org.http4k.core.Method
 import org.http4k.core.Request
 import java.net.URLDecoder
 
 private const val OWN_PREFIX = "kumquatmill-"
-private val hopByHopHeaders =
-    setOf(
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "expect",
-        "host",
-        "content-length",
-    )
+private val droppedHeaders = hopByHopHeaders + "host"
 
 private val unclearParts = listOf("\\", "%2f", "%5c", "%00", "%25")
 private val dotSegments = setOf(".", "..")
@@ -80,7 +67,7 @@
             .flatMap { (_, value) -> value.orEmpty().split(',').map { it.trim().lowercase() } }
     return headers.filterNot { (name, value) ->
         val lowerName = name.lowercase()
-        lowerName in hopByHopHeaders ||
+        lowerName in droppedHeaders ||
             lowerName in listedByConnection ||
             lowerName.startsWith(OWN_PREFIX) ||
             lowerName == HeaderNames.AUTHORIZATION.lowercase() ||
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/RequestHead.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/RequestHead.kt
@@ -6,8 +6,8 @@
 
 private const val BEARER = "Bearer "
 
-/** Headers that concern one connection only. */
-internal val hopByHopHeaders: Set<String> =
+/** Headers that concern one connection only, in lower case. */
+val hopByHopHeaders: Set<String> =
     setOf(
         "connection",
         "keep-alive",
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/settings/GatewaySettingsLoader.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/settings/GatewaySettingsLoader.kt
@@ -4,6 +4,7 @@
 import arrow.core.left
 import arrow.core.right
 import arrow.core.toNonEmptyListOrNull
+import io.kumquatmill.common.fleet.HostAddress
 import io.kumquatmill.common.id.AvailabilityZoneId
 import io.kumquatmill.common.id.RegionId
 import io.kumquatmill.settings.SettingsError
@@ -84,10 +85,10 @@
     }
 
     private class Listen(
-        val callers: io.kumquatmill.common.fleet.HostAddress,
-        val readiness: io.kumquatmill.common.fleet.HostAddress,
-        val directory: io.kumquatmill.common.fleet.HostAddress,
-        val peerCalls: io.kumquatmill.common.fleet.HostAddress,
+        val callers: HostAddress,
+        val readiness: HostAddress,
+        val directory: HostAddress,
+        val peerCalls: HostAddress,
         val peerReportPort: Int,
         val metricsPort: Int?,
     )
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StateCache.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StateCache.kt
@@ -1,7 +1,6 @@
 package io.kumquatmill.gateway.store
 
 import io.kumquatmill.common.id.AvailabilityZoneId
-import io.kumquatmill.common.id.WorkerId
 import io.kumquatmill.store.StoreChange
 import io.kumquatmill.store.StoreEntry
 import io.kumquatmill.traffic.fleet.KnownHost
@@ -108,9 +107,6 @@
                     .mapTo(HashSet()) { AvailabilityZoneId(it.removePrefix(keys.evacuationPrefix)) },
         )
 
-    /** Ids of the workers whose entries are gone but may come back. */
-    fun lapsedWorkers(): Set<WorkerId> = lapsed.keys.mapTo(HashSet()) { WorkerId(it.removePrefix(keys.workerPrefix)) }
-
     private fun put(entry: StoreEntry) {
         val knownRevision = maxOf(entries[entry.key]?.revision ?: 0, deletedAt[entry.key] ?: 0)
         if (entry.revision <= knownRevision) return
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StoreFollower.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StoreFollower.kt
@@ -2,7 +2,6 @@
 
 import arrow.core.Either
 import io.kumquatmill.store.StoreCall
-import io.kumquatmill.store.StoreChange
 import io.kumquatmill.store.StoreEntry
 import io.kumquatmill.store.StoreError
 import io.kumquatmill.store.StoreReply
@@ -31,18 +30,11 @@
 ) {
     private var revision: Long? = null
     private var failures = 0
-    private var isReading = false
 
     /** Starts to follow. */
     fun start() = readAll()
 
-    /** Reads all entries again soon, since a peer knows more than this host. */
-    fun refresh() {
-        if (!isReading) readAll()
-    }
-
     private fun readAll() {
-        isReading = true
         readPage(null, emptyList(), null)
     }
 
@@ -70,7 +62,6 @@
         snapshotRevision: Long,
     ) {
         val isFirstOrLost = revision == null
-        isReading = false
         succeeded()
         revision = snapshotRevision
         listener.onSnapshot(prefix, entries, snapshotRevision)
@@ -127,29 +118,3 @@
         const val MAX_DOUBLINGS = 4
     }
 }
-
-/** Told what a [StoreFollower] learns. */
-interface StoreListener {
-    /** All entries under [prefix] as of [revision]. */
-    fun onSnapshot(
-        prefix: String,
-        entries: List<StoreEntry>,
-        revision: Long,
-    )
-
-    /** Changes in their order. */
-    fun onChanges(changes: List<StoreChange>)
-
-    /** The service failed for the [failures]th time in a row. */
-    fun onFailure(
-        prefix: String,
-        error: StoreError,
-        failures: Int,
-    )
-
-    /** The service answers again after [failures] failures. */
-    fun onRecovery(
-        prefix: String,
-        failures: Int,
-    )
-}
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/WorkerBook.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/WorkerBook.kt
@@ -56,9 +56,6 @@
     fun of(upstream: UpstreamId): List<WorkerTrack> =
         tracksByUpstream[upstream].orEmpty().filter { it.entry.availabilityZone !in evacuatedZones }
 
-    /** Returns the worker [id] if it is still known. */
-    operator fun get(id: WorkerId): WorkerTrack? = tracks[id]
-
     private fun take(
         nowMs: Long,
         entry: WorkerEntry,
