Watch briefly while the store is away

Change: after a failure a watch waits 0.2 s until one is answered; the usual wait is 4 s, so that one cut by a short outage ends before the host counts as in touch again.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StoreFollower.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StoreFollower.kt
@@ -70,7 +70,9 @@
 
     private fun watch() {
         val after = revision ?: return readAll()
-        send(StoreCall.Watch(prefix, after, watchMs)) { result ->
+        // What is sent into an outage may be lost for good, so a long wait would outlast it.
+        val waitMs = if (failures > 0) min(watchMs, PROBE_MS) else watchMs
+        send(StoreCall.Watch(prefix, after, waitMs)) { result ->
             result.fold({ error ->
                 if (error is StoreError.HistoryGone) {
                     revision = null
@@ -109,7 +111,10 @@
 
     private companion object {
         /** A connection that has gone silent is noticed after this time; each watch is a call that is charged. */
-        const val WATCH_MS = 8_000L
+        const val WATCH_MS = 4_000L
+
+        /** Wait of a watch while the service is thought to be away. */
+        const val PROBE_MS = 200L
 
         /** Changes come in groups; one call takes those of this time together. */
         const val GATHER_MS = 150L
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/StoreFollowerTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/StoreFollowerTest.kt
@@ -114,4 +114,17 @@
         answer(StoreReply.Entries(emptyList(), 3))
         assertEquals(listOf("recovery", "snapshot [] at 3"), told.takeLast(2))
     }
+
+    @Test
+    fun `a watch that follows a failure is short, so that one lost in an outage does not outlast it`() {
+        follower.start()
+        answer(StoreReply.Entries(emptyList(), 7))
+        val usualMs = assertIs<StoreCall.Watch>(sent.first().call).waitMs
+        fail(StoreError.Unknown("no answer"))
+        later.removeFirst().second()
+        val probeMs = assertIs<StoreCall.Watch>(sent.first().call).waitMs
+        assertTrue(probeMs <= 500, "expected a short watch, found $probeMs ms")
+        answer(StoreReply.Changes(emptyList(), 7))
+        assertEquals(usualMs, assertIs<StoreCall.Watch>(sent.first().call).waitMs)
+    }
 }
