--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StoreFollower.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StoreFollower.kt
@@ -2,7 +2,6 @@
 
 import arrow.core.Either
 import io.kumquatmill.store.StoreCall
-import io.kumquatmill.store.StoreChange
 import io.kumquatmill.store.StoreEntry
 import io.kumquatmill.store.StoreError
 import io.kumquatmill.store.StoreReply
@@ -31,18 +30,11 @@
 ) {
     private var revision: Long? = null
     private var failures = 0
-    private var isReading = false
 
     /** Starts to follow. */
     fun start() = readAll()
 
-    /** Reads all entries again soon, since a peer knows more than this host. */
-    fun refresh() {
-        if (!isReading) readAll()
-    }
-
     private fun readAll() {
-        isReading = true
         readPage(null, emptyList(), null)
     }
 
@@ -70,7 +62,6 @@
         snapshotRevision: Long,
     ) {
         val isFirstOrLost = revision == null
-        isReading = false
         succeeded()
         revision = snapshotRevision
         listener.onSnapshot(prefix, entries, snapshotRevision)
@@ -79,7 +70,9 @@
 
     private fun watch() {
         val after = revision ?: return readAll()
-        send(StoreCall.Watch(prefix, after, watchMs)) { result ->
+        // What is sent into an outage may be lost for good, so a long wait would outlast it.
+        val waitMs = if (failures > 0) min(watchMs, PROBE_MS) else watchMs
+        send(StoreCall.Watch(prefix, after, waitMs)) { result ->
             result.fold({ error ->
                 if (error is StoreError.HistoryGone) {
                     revision = null
@@ -118,7 +111,10 @@
 
     private companion object {
         /** A connection that has gone silent is noticed after this time; each watch is a call that is charged. */
-        const val WATCH_MS = 8_000L
+        const val WATCH_MS = 4_000L
+
+        /** Wait of a watch while the service is thought to be away. */
+        const val PROBE_MS = 200L
 
         /** Changes come in groups; one call takes those of this time together. */
         const val GATHER_MS = 150L
@@ -127,29 +123,3 @@
         const val MAX_DOUBLINGS = 4
     }
 }
-
-/** Told what a [StoreFollower] learns. */
-interface StoreListener {
-    /** All entries under [prefix] as of [revision]. */
-    fun onSnapshot(
-        prefix: String,
-        entries: List<StoreEntry>,
-        revision: Long,
-    )
-
-    /** Changes in their order. */
-    fun onChanges(changes: List<StoreChange>)
-
-    /** The service failed for the [failures]th time in a row. */
-    fun onFailure(
-        prefix: String,
-        error: StoreError,
-        failures: Int,
-    )
-
-    /** The service answers again after [failures] failures. */
-    fun onRecovery(
-        prefix: String,
-        failures: Int,
-    )
-}
