Encode messages between hosts as compact CBOR

Change: a workspace stands in reports as the low 32 bits of its name's hash, with its demand in tenths and its share in thousandths, encoded as CBOR; workspaces whose hashes coincide keep to even shares and are not reported. The decoder of kotlinx.serialization exhausts the heap on a truncated list or a huge declared size (a fuzzed datagram of 20 bytes ended the test process), so every message is first checked to be one complete item. The frames of the product's own peer transport had the same fault and get the same check.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/PeerSocket.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/PeerSocket.kt
@@ -1,8 +1,6 @@
 package io.kumquatmill.gateway.peer
 
 import io.kumquatmill.gateway.log.EventLog
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
 import java.io.IOException
 import java.net.DatagramPacket
 import java.net.DatagramSocket
@@ -35,7 +33,7 @@
         message: PeerMessage,
         ips: Collection<String>,
     ) {
-        val bytes = json.encodeToString(PeerMessage.serializer(), message).toByteArray()
+        val bytes = PeerMessageCodec.encode(message)
         ips.forEach { ip ->
             try {
                 socket.send(DatagramPacket(bytes, bytes.size, InetAddress.getByName(ip), port))
@@ -53,19 +51,18 @@
             try {
                 val packet = DatagramPacket(buffer, buffer.size)
                 socket.receive(packet)
-                onMessage(json.decodeFromString(PeerMessage.serializer(), String(buffer, 0, packet.length)))
+                onMessage(PeerMessageCodec.decode(buffer.copyOf(packet.length)))
             } catch (e: SocketException) {
                 if (!socket.isClosed) log.warn("receiving messages from peers failed", "detail" to e.message)
+            } catch (e: MalformedPeerMessageException) {
+                log.warn("cannot decode message from peer", "detail" to e.message)
             } catch (e: IOException) {
                 log.warn("cannot receive message from peer", "detail" to e.message)
-            } catch (e: SerializationException) {
-                log.warn("cannot decode message from peer", "detail" to e.message)
             }
         }
     }
 
     private companion object {
         const val MAX_DATAGRAM_BYTES = 32 * 1024
-        val json = Json { ignoreUnknownKeys = true }
     }
 }
--- /dev/null
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/ReportFrame.kt
@@ -0,0 +1,51 @@
+package io.kumquatmill.gateway.peer
+
+import io.kumquatmill.traffic.fleet.PeerReport
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Encoded form of a [PeerReport]. */
+@Serializable
+internal class ReportFrame(
+    @SerialName("h") val host: String,
+    @SerialName("i") val incarnation: Long,
+    @SerialName("n") val sequence: Long,
+    @SerialName("a") val ip: String,
+    @SerialName("r") val region: String,
+    @SerialName("z") val availabilityZone: String,
+    @SerialName("v") val storeRevision: Long,
+    @SerialName("s") val isServing: Boolean,
+    @SerialName("w") val workspaces: WorkspaceColumns,
+    @SerialName("p") val stalePeers: List<String>,
+) {
+    fun toReport() =
+        PeerReport(
+            host = host,
+            incarnation = incarnation,
+            sequence = sequence,
+            ip = ip,
+            region = region,
+            availabilityZone = availabilityZone,
+            storeRevision = storeRevision,
+            isServing = isServing,
+            demandPerS = workspaces.demandPerS(),
+            sharesPerMille = workspaces.sharesPerMille(),
+            stalePeers = stalePeers,
+        )
+
+    companion object {
+        fun of(report: PeerReport) =
+            ReportFrame(
+                host = report.host,
+                incarnation = report.incarnation,
+                sequence = report.sequence,
+                ip = report.ip,
+                region = report.region,
+                availabilityZone = report.availabilityZone,
+                storeRevision = report.storeRevision,
+                isServing = report.isServing,
+                workspaces = WorkspaceColumns.of(report),
+                stalePeers = report.stalePeers,
+            )
+    }
+}
--- /dev/null
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/peer/PeerMessageCodecTest.kt
@@ -0,0 +1,95 @@
+package io.kumquatmill.gateway.peer
+
+import io.kumquatmill.common.id.WorkspaceId
+import io.kumquatmill.traffic.fleet.PeerReport
+import io.kumquatmill.traffic.fleet.WorkspaceTag
+import io.kumquatmill.traffic.ratelimit.LoanGrant
+import io.kumquatmill.traffic.ratelimit.LoanRequest
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
+import kotlin.test.assertTrue
+
+class PeerMessageCodecTest {
+    private val alpha = WorkspaceTag.of(WorkspaceId("alpha"))
+    private val beta = WorkspaceTag.of(WorkspaceId("beta"))
+
+    private fun report(workspaces: Int = 2) =
+        PeerReport(
+            host = "front-east-a-1",
+            incarnation = 1_765_000_000_000,
+            sequence = 77,
+            ip = "10.1.0.7",
+            region = "east",
+            availabilityZone = "east-a",
+            storeRevision = 4_711,
+            isServing = true,
+            demandPerS = (1..workspaces).associate { WorkspaceTag.of(WorkspaceId("workspace-$it")) to it / 10.0 },
+            sharesPerMille = emptyMap(),
+            stalePeers = listOf("front-west-a-2"),
+        )
+
+    @Test
+    fun `a report is decoded as it was sent, with demands and shares of different workspaces`() {
+        val sent = report().copy(demandPerS = mapOf(alpha to 12.3), sharesPerMille = mapOf(alpha to 250, beta to 0))
+        assertEquals(sent, PeerMessageCodec.decode(PeerMessageCodec.encode(PeerMessage(report = sent))).report)
+    }
+
+    @Test
+    fun `loan requests and grants are decoded as they were sent`() {
+        val request = LoanRequest("h1", "10.1.0.7", "h2", "alpha", 3.0, 9)
+        val grant = LoanGrant("h2", "alpha", 2.0, 9)
+        assertEquals(request, PeerMessageCodec.decode(PeerMessageCodec.encode(PeerMessage(loanRequest = request))).loanRequest)
+        assertEquals(grant, PeerMessageCodec.decode(PeerMessageCodec.encode(PeerMessage(grant = grant))).grant)
+    }
+
+    @Test
+    fun `a workspace adds at most ten bytes to a report`() {
+        val empty = PeerMessageCodec.encode(PeerMessage(report = report(0))).size
+        val full = PeerMessageCodec.encode(PeerMessage(report = report(90))).size
+        assertTrue(full - empty <= 90 * 10, "expected at most 900 bytes for 90 workspaces, found ${full - empty}")
+    }
+
+    @Test
+    fun `a report whose lists differ in length or hold negative numbers is malformed`() {
+        val bytes = PeerMessageCodec.encode(PeerMessage(report = report()))
+        val demands = byteArrayOf(0x9F.toByte(), 1, 2, 0xFF.toByte())
+        val at = indexOf(bytes, demands)
+        assertTrue(at > 0, "expected the demands 1 and 2 in the encoded report")
+        val isShorter = bytes.copyOfRange(0, at + 2) + bytes.copyOfRange(at + 3, bytes.size)
+        val isNegative = bytes.copyOf().also { it[at + 1] = 0x25 }
+        assertFailsWith<MalformedPeerMessageException> { PeerMessageCodec.decode(isShorter) }
+        assertFailsWith<MalformedPeerMessageException> { PeerMessageCodec.decode(isNegative) }
+    }
+
+    @Test
+    fun `any other datagram is malformed, whatever its bytes are`() {
+        val random = Random(5)
+        val valid = PeerMessageCodec.encode(PeerMessage(report = report(40)))
+        val deeplyNested = ByteArray(32 * 1024) { 0x81.toByte() }
+        val unknownFieldDeeplyNested = byteArrayOf(0xBF.toByte(), 0x61, 'x'.code.toByte()) + deeplyNested
+        val hugeLength = byteArrayOf(0xBF.toByte(), 0x61, 'x'.code.toByte(), 0x5A, 0x7F, -1, -1, -1)
+        val datagrams =
+            listOf(ByteArray(0), "{\"report\":null}".toByteArray(), deeplyNested, unknownFieldDeeplyNested, hugeLength) +
+                List(2_000) { random.nextBytes(random.nextInt(1, 300)) } +
+                List(2_000) { valid.copyOf(random.nextInt(valid.size)) } +
+                List(2_000) { valid.copyOf().also { bytes -> repeat(3) { bytes[random.nextInt(bytes.size)] = random.nextInt().toByte() } } }
+        val outcomes =
+            datagrams.map { bytes ->
+                try {
+                    PeerMessageCodec.decode(bytes)
+                    "decoded"
+                } catch (_: MalformedPeerMessageException) {
+                    "malformed"
+                }
+            }
+        assertEquals(setOf("decoded", "malformed"), outcomes.toSet())
+        assertEquals(List(5) { "malformed" }, outcomes.take(5))
+    }
+
+    private fun indexOf(
+        bytes: ByteArray,
+        part: ByteArray,
+    ): Int = (0..bytes.size - part.size).firstOrNull { at -> part.indices.all { bytes[at + it] == part[it] } } ?: -1
+}
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
@@ -6,6 +6,7 @@
 import io.kumquatmill.traffic.fleet.EntryHostInfo
 import io.kumquatmill.traffic.fleet.FleetView
 import io.kumquatmill.traffic.fleet.PeerReport
+import io.kumquatmill.traffic.fleet.WorkspaceTag
 import io.kumquatmill.traffic.model.SteeringState
 import io.kumquatmill.traffic.model.TrafficRoute
 import io.kumquatmill.traffic.model.Workspace
@@ -106,10 +107,10 @@
     ): List<EntryHostInfo> = fleet.servingHosts(nowMs, region, isServing)
 
     /** Returns this host's demand by workspace, in requests per second, to be reported to peers. */
-    fun demandPerS(nowMs: Long): Map<String, Double> = rateLimiter.demandPerS(nowMs)
+    fun demandPerS(nowMs: Long): Map<WorkspaceTag, Double> = rateLimiter.demandPerS(nowMs)
 
     /** Returns this host's shares of the workspaces' rate limits in thousandths, to be reported to peers. */
-    fun sharesPerMille(): Map<String, Int> = rateLimiter.sharesPerMille()
+    fun sharesPerMille(): Map<WorkspaceTag, Int> = rateLimiter.sharesPerMille()
 
     /** Returns the names of the peers without a fresh report. */
     fun stalePeers(nowMs: Long): List<String> = fleet.stalePeers(nowMs)
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/PeerReport.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/PeerReport.kt
@@ -1,8 +1,5 @@
 package io.kumquatmill.traffic.fleet
 
-import kotlinx.serialization.SerialName
-import kotlinx.serialization.Serializable
-
 /**
  * Report that a host sends to its peers every few hundred milliseconds; each report replaces the previous one.
  *
@@ -14,17 +11,16 @@
  * without demand are left out
  * @property stalePeers names of the peers without a fresh report
  */
-@Serializable
 data class PeerReport(
-    @SerialName("h") val host: String,
-    @SerialName("i") val incarnation: Long,
-    @SerialName("n") val sequence: Long,
-    @SerialName("ip") val ip: String,
-    @SerialName("r") val region: String,
-    @SerialName("z") val availabilityZone: String,
-    @SerialName("v") val storeRevision: Long,
-    @SerialName("s") val isServing: Boolean,
-    @SerialName("d") val demandPerS: Map<String, Double> = emptyMap(),
-    @SerialName("q") val sharesPerMille: Map<String, Int> = emptyMap(),
-    @SerialName("p") val stalePeers: List<String> = emptyList(),
+    val host: String,
+    val incarnation: Long,
+    val sequence: Long,
+    val ip: String,
+    val region: String,
+    val availabilityZone: String,
+    val storeRevision: Long,
+    val isServing: Boolean,
+    val demandPerS: Map<WorkspaceTag, Double> = emptyMap(),
+    val sharesPerMille: Map<WorkspaceTag, Int> = emptyMap(),
+    val stalePeers: List<String> = emptyList(),
 )
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/RateShare.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/RateShare.kt
@@ -2,6 +2,7 @@
 
 import io.kumquatmill.traffic.fleet.PeerLiveness
 import io.kumquatmill.traffic.fleet.PeerReport
+import io.kumquatmill.traffic.fleet.WorkspaceTag
 import kotlin.math.max
 import kotlin.math.min
 
@@ -15,7 +16,7 @@
  * other host uses.
  */
 internal class RateShare(
-    private val workspace: String,
+    private val workspace: WorkspaceTag,
     private val settings: RateLimitSettings,
 ) {
     /** Fraction of the rate limit, from 0 to 1. */
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/WorkspaceRateLimiter.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/WorkspaceRateLimiter.kt
@@ -5,6 +5,7 @@
 import io.kumquatmill.traffic.fleet.FleetView
 import io.kumquatmill.traffic.fleet.PeerLiveness
 import io.kumquatmill.traffic.fleet.PeerReport
+import io.kumquatmill.traffic.fleet.WorkspaceTag
 import io.kumquatmill.traffic.model.Workspace
 import kotlin.math.ceil
 import kotlin.math.floor
@@ -30,6 +31,10 @@
         val bucket: TokenBucket,
         val share: RateShare,
     ) {
+        val tag = WorkspaceTag.of(workspace.id)
+
+        /** Whether reports can't tell this workspace from another one; each host then uses its even share without reporting it. */
+        var isTagAmbiguous = false
         val demand = DemandMeter()
         val borrowed = BorrowedTokens(settings)
         var updatedAtMs = Long.MIN_VALUE
@@ -48,10 +53,12 @@
         limited.values.forEach { workspace ->
             val limit =
                 limits.getOrPut(workspace.id) {
-                    WorkspaceLimit(workspace, TokenBucket(0.0, 0.0, nowMs), RateShare(workspace.id.value, settings))
+                    WorkspaceLimit(workspace, TokenBucket(0.0, 0.0, nowMs), RateShare(WorkspaceTag.of(workspace.id), settings))
                 }
             limit.workspace = workspace
         }
+        val limitsByTag = limits.values.groupBy { it.tag }
+        limits.values.forEach { it.isTagAmbiguous = limitsByTag.getValue(it.tag).size > 1 }
         rebalance(nowMs)
     }
 
@@ -119,19 +126,21 @@
     }
 
     /** Returns this host's demand by workspace, in requests per second, to be reported to peers; workspaces without any are left out. */
-    fun demandPerS(nowMs: Long): Map<String, Double> {
+    fun demandPerS(nowMs: Long): Map<WorkspaceTag, Double> {
         limits.values.forEach { it.share.reportedDemandPerS = round(it.demand.ratePerS(nowMs) * TENTHS) / TENTHS }
-        return limits.entries.associate { (id, limit) -> id.value to limit.share.reportedDemandPerS }.filterValues { it > 0 }
+        return reportedLimits().associate { it.tag to it.share.reportedDemandPerS }.filterValues { it > 0 }
     }
 
     /** Returns this host's shares in thousandths, to be reported to peers; idle shares of workspaces without demand are left out. */
-    fun sharesPerMille(): Map<String, Int> {
+    fun sharesPerMille(): Map<WorkspaceTag, Int> {
         val idleShare = settings.idleFraction / fleet.size()
-        return limits.entries
-            .filter { (_, limit) -> limit.share.reportedDemandPerS > 0 || limit.share.value > idleShare }
-            .associate { (id, limit) -> id.value to ceil(limit.share.value * RateShare.PER_MILLE).toInt() }
+        return reportedLimits()
+            .filter { it.share.reportedDemandPerS > 0 || it.share.value > idleShare }
+            .associate { it.tag to ceil(it.share.value * RateShare.PER_MILLE).toInt() }
     }
 
+    private fun reportedLimits(): List<WorkspaceLimit> = limits.values.filterNot { it.isTagAmbiguous }
+
     private fun tryTake(
         nowMs: Long,
         limit: WorkspaceLimit,
@@ -148,7 +157,7 @@
         limit: WorkspaceLimit,
     ): Boolean {
         val workspace = limit.workspace
-        val peerDemandPerS = freshReports(nowMs).sumOf { it.demandPerS[workspace.id.value] ?: 0.0 }
+        val peerDemandPerS = freshReports(nowMs).sumOf { it.demandPerS[limit.tag] ?: 0.0 }
         val isFarAboveRate = limit.demand.ratePerS(nowMs) + peerDemandPerS > workspace.ratePerS * settings.noLoanDemandFactor
         return !isFarAboveRate && limit.borrowed.hasPendingRequest(nowMs)
     }
@@ -171,7 +180,7 @@
         if (limit.bucket.level + limit.borrowed.available(nowMs) >= needed || !limit.borrowed.mayRequest(nowMs)) return
         val workspace = limit.workspace
         freshReports(nowMs)
-            .filter { sparePerS(it, workspace) > 0 }
+            .filter { sparePerS(it, limit) > 0 }
             .sortedBy { limit.borrowed.lastRequestTo(it.host) }
             .take(settings.lenders)
             .forEach { report ->
@@ -184,10 +193,10 @@
     /** Returns the requests per second that a peer may admit beyond its demand. */
     private fun sparePerS(
         report: PeerReport,
-        workspace: Workspace,
+        limit: WorkspaceLimit,
     ): Double {
-        val share = report.sharesPerMille[workspace.id.value]?.let { it / RateShare.PER_MILLE } ?: (settings.idleFraction / fleet.size())
-        return share * workspace.ratePerS - (report.demandPerS[workspace.id.value] ?: 0.0)
+        val share = report.sharesPerMille[limit.tag]?.let { it / RateShare.PER_MILLE } ?: (settings.idleFraction / fleet.size())
+        return share * limit.workspace.ratePerS - (report.demandPerS[limit.tag] ?: 0.0)
     }
 
     private fun rebalance(
@@ -202,7 +211,7 @@
             ratePerS = workspace.ratePerS,
             hosts = fleet.size(),
             peers = peers,
-            isIsolated = isIsolated,
+            isIsolated = isIsolated || limit.isTagAmbiguous,
             raiseIntervalMs = settings.raiseIntervalReports * fleet.reportIntervalMs(),
         )
         limit.updatedAtMs = nowMs
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/Fixtures.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/Fixtures.kt
@@ -11,6 +11,7 @@
 import io.kumquatmill.traffic.control.TrafficSettings
 import io.kumquatmill.traffic.fleet.EntryHostInfo
 import io.kumquatmill.traffic.fleet.PeerReport
+import io.kumquatmill.traffic.fleet.WorkspaceTag
 import io.kumquatmill.traffic.model.DesiredState
 import io.kumquatmill.traffic.model.SteeringState
 import io.kumquatmill.traffic.model.TrafficRoute
@@ -114,8 +115,8 @@
     host: EntryHostInfo,
     sequence: Long = 1,
     incarnation: Long = 1,
-    demandPerS: Map<String, Double> = emptyMap(),
-    sharesPerMille: Map<String, Int> = emptyMap(),
+    demandPerS: Map<WorkspaceTag, Double> = emptyMap(),
+    sharesPerMille: Map<WorkspaceTag, Int> = emptyMap(),
     stalePeers: List<String> = emptyList(),
     isServing: Boolean = true,
 ) = PeerReport(
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/ratelimit/RateShareTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/ratelimit/RateShareTest.kt
@@ -1,6 +1,8 @@
 package io.kumquatmill.traffic.ratelimit
 
+import io.kumquatmill.common.id.WorkspaceId
 import io.kumquatmill.traffic.fleet.PeerLiveness
+import io.kumquatmill.traffic.fleet.WorkspaceTag
 import io.kumquatmill.traffic.host
 import io.kumquatmill.traffic.report
 import kotlin.test.Test
@@ -8,13 +10,14 @@
 import kotlin.test.assertTrue
 
 class RateShareTest {
-    private val share = RateShare("alpha", RateLimitSettings())
+    private val alpha = WorkspaceTag.of(WorkspaceId("alpha"))
+    private val share = RateShare(alpha, RateLimitSettings())
 
     private fun fresh(
         name: String,
         demandPerS: Double,
         sharePerMille: Int,
-    ) = PeerLiveness.Fresh(report(host(name), demandPerS = mapOf("alpha" to demandPerS), sharesPerMille = mapOf("alpha" to sharePerMille)))
+    ) = PeerLiveness.Fresh(report(host(name), demandPerS = mapOf(alpha to demandPerS), sharesPerMille = mapOf(alpha to sharePerMille)))
 
     private fun update(
         nowMs: Long,
@@ -64,7 +67,7 @@
     @Test
     fun `a share is not raised by a minority while a peer is silent, nor twice before peers know of the first raise`() {
         share.reportedDemandPerS = 100.0
-        val lastReport = report(host("h2"), demandPerS = mapOf("alpha" to 10.0), sharesPerMille = mapOf("alpha" to 300))
+        val lastReport = report(host("h2"), demandPerS = mapOf(alpha to 10.0), sharesPerMille = mapOf(alpha to 300))
         assertEquals(0.0, update(0, PeerLiveness.Silent(lastReport)), 1e-9)
         val first = update(1_000, fresh("h2", demandPerS = 100.0, sharePerMille = 300))
         assertEquals(first, update(1_500, fresh("h2", demandPerS = 0.0, sharePerMille = 0)), 1e-9)
@@ -75,7 +78,7 @@
     fun `the share of a silent peer stays reserved, and its even share even when it is lost`() {
         share.reportedDemandPerS = 100.0
         update(0, fresh("h2", demandPerS = 0.0, sharePerMille = 0))
-        val lastReport = report(host("h2"), demandPerS = mapOf("alpha" to 10.0), sharesPerMille = mapOf("alpha" to 700))
+        val lastReport = report(host("h2"), demandPerS = mapOf(alpha to 10.0), sharesPerMille = mapOf(alpha to 700))
         assertEquals(0.3, update(2_000, PeerLiveness.Silent(lastReport)), 0.01)
         assertEquals(0.3, update(3_000, PeerLiveness.Silent(lastReport)), 0.01)
         assertEquals(0.6, update(20_000, PeerLiveness.Lost), 0.01)
--- a/kumquatmill-wire/src/main/kotlin/io/kumquatmill/wire/PeerCodec.kt
+++ b/kumquatmill-wire/src/main/kotlin/io/kumquatmill/wire/PeerCodec.kt
@@ -1,6 +1,8 @@
 package io.kumquatmill.wire
 
 import arrow.core.Either
+import arrow.core.left
+import io.kumquatmill.common.cbor.isWellFormedCbor
 import io.kumquatmill.node.message.PeerEnvelope
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.cbor.Cbor
@@ -17,7 +19,11 @@
 
     /** Decodes an envelope from [bytes], or returns why they are malformed. */
     fun decode(bytes: ByteArray): Either<MalformedFrame, PeerEnvelope> =
-        Either
-            .catch { cbor.decodeFromByteArray<PeerEnvelope>(bytes) }
-            .mapLeft { MalformedFrame(it.message ?: it.javaClass.simpleName) }
+        if (isWellFormedCbor(bytes)) {
+            Either
+                .catch { cbor.decodeFromByteArray<PeerEnvelope>(bytes) }
+                .mapLeft { MalformedFrame(it.message ?: it.javaClass.simpleName) }
+        } else {
+            MalformedFrame("not one complete CBOR item").left()
+        }
 }
--- a/kumquatmill-wire/src/test/kotlin/io/kumquatmill/wire/PeerCodecTest.kt
+++ b/kumquatmill-wire/src/test/kotlin/io/kumquatmill/wire/PeerCodecTest.kt
@@ -27,4 +27,14 @@
 
         assertTrue(accepted.isEmpty(), "envelopes truncated to $accepted bytes were accepted")
     }
+
+    @Test
+    fun `a truncated list of indefinite length is malformed and does not exhaust the heap`() {
+        val roster = MembershipMessage.RosterNotice(epoch = 7)
+        val bytes = PeerCodec.encode(envelope.copy(message = PeerMessage.Membership(roster)))
+        val unknownList = bytes.copyOf(bytes.size - 1) + byteArrayOf(0x61, 'x'.code.toByte(), 0x9F.toByte(), 1, 2)
+
+        assertTrue(PeerCodec.decode(unknownList).isLeft(), "a truncated list was accepted")
+        assertTrue(PeerCodec.decode(byteArrayOf(0x9A.toByte(), 0x7F, -1, -1, -1)).isLeft(), "a list of 2^31 - 1 elements was accepted")
+    }
 }
