Pool the rate tokens of small workspaces at one host of each region

Ruled out: lack of room (a third of the slots is used), refusals of placement (none in the request log).

Change: a workspace whose rate is below two requests a second and host is pooled: one live host of each region, by rendezvous hash, holds its tokens, with shares that follow the demand of the regions and the same promise as before (a share rises only into room that no peer's last report claims). Another host asks the pool host of its region for a token when it needs one, then those of other regions; a pool host without tokens says so at once, and the waiting request goes on when the reply arrives. A host that stops gives its pools up first.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
@@ -4,6 +4,7 @@
 import io.kumquatmill.gateway.caller.CallerContext
 import io.kumquatmill.gateway.caller.CallerHandler
 import io.kumquatmill.gateway.caller.DrainSchedule
+import io.kumquatmill.gateway.caller.LoanWaiters
 import io.kumquatmill.gateway.http.EventLoopHttpClient
 import io.kumquatmill.gateway.log.EventLog
 import io.kumquatmill.gateway.log.RequestLog
@@ -57,9 +58,19 @@
     private val bufferPool = DefaultByteBufferPool(false, BUFFER_BYTES, POOLED_BUFFERS, 0)
     private val controller = TrafficController(settings.self, settings.traffic) { request -> sendLoanRequest(request) }
     private val httpClient = EventLoopHttpClient(loop, bufferPool, clock)
+    private val loanWaiters = LoanWaiters()
     private val callerHandler =
         CallerHandler(
-            CallerContext(adapter.headerNames, controller, httpClient, clock, RequestLog(), metrics, settings.maxCallerConnections),
+            CallerContext(
+                adapter.headerNames,
+                controller,
+                httpClient,
+                clock,
+                RequestLog(),
+                metrics,
+                loanWaiters,
+                settings.maxCallerConnections,
+            ),
         )
     private val random = Random(settings.self.host.hashCode() xor System.nanoTime().toInt())
     private val storeClient = EventLoopStoreClient(httpClient, settings.storeAddress, adapter.storeProtocol)
@@ -94,6 +105,7 @@
             clock,
             log,
             adapter.stateKeys.watchedPrefixes,
+            loanWaiters,
         ) { isServing }
     private val servers =
         GatewayServers(settings, adapter, xnioWorker, bufferPool, callerHandler, controller, cache, metrics, clock) { isServing }
@@ -132,6 +144,7 @@
             DrainSchedule(acceptAllUntilMs = nowMs + acceptAllMs, exitAtMs = nowMs + settings.stopTimeoutMs - STOP_MARGIN_MS),
         )
         log.info("draining host", "openRequests" to callerHandler.activeRequestCount)
+        controller.leave(nowMs)
         peerSynchronizer.sendReport()
         registration.deregister()
         awaitDrained(nowMs)
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
@@ -2,6 +2,7 @@
 
 import io.kumquatmill.common.fleet.HostAddress
 import io.kumquatmill.common.time.MonotonicClock
+import io.kumquatmill.gateway.caller.LoanWaiters
 import io.kumquatmill.gateway.http.CallResult
 import io.kumquatmill.gateway.http.EventLoopHttpClient
 import io.kumquatmill.gateway.http.HttpCall
@@ -33,6 +34,7 @@
     private val clock: MonotonicClock,
     private val log: EventLog,
     private val watchedPrefixes: List<String>,
+    private val loanWaiters: LoanWaiters,
     private val isServing: () -> Boolean,
 ) {
     private val incarnation = System.currentTimeMillis()
@@ -90,7 +92,10 @@
         message.loanRequest?.let { request ->
             controller.lend(nowMs, request)?.let { socket.send(PeerMessage(grant = it), listOf(request.ip)) }
         }
-        message.grant?.let { controller.onLoan(nowMs, it) }
+        message.grant?.let {
+            controller.onLoan(nowMs, it)
+            loanWaiters.onGrant(it)
+        }
     }
 
     /** Fetches the entries of a peer when this host lags behind it, or of a seed when it is not ready and the store is unavailable. */
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerHandler.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerHandler.kt
@@ -26,6 +26,7 @@
     val clock: MonotonicClock,
     val log: RequestLog,
     val metrics: GatewayMetrics,
+    val loanWaiters: LoanWaiters,
     val maxConnections: Int,
 )
 
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
@@ -39,6 +39,8 @@
     private var call: OngoingCall? = null
     private var workerResponse: CallResult.Response? = null
     private var deadlineTimer: XnioExecutor.Key? = null
+    private var loanTimer: XnioExecutor.Key? = null
+    private val resumeOnGrant: () -> Unit = { resume() }
     private var isCallerDisconnected = false
     private var isFinished = false
 
@@ -71,11 +73,19 @@
 
     private fun waitForLoan(action: RequestAction.Wait) {
         context.log.waitingForLoan(id, resolved.workspace?.id, action.afterMs)
-        exchange.ioThread.executeAfter({ resume() }, action.afterMs, TimeUnit.MILLISECONDS)
+        resolved.workspace?.let { context.loanWaiters.add(it.id, resumeOnGrant) }
+        loanTimer = exchange.ioThread.executeAfter({ resume() }, action.afterMs, TimeUnit.MILLISECONDS)
+    }
+
+    private fun stopWaitingForLoan() {
+        loanTimer?.remove()
+        loanTimer = null
+        resolved.workspace?.let { context.loanWaiters.remove(it.id, resumeOnGrant) }
     }
 
     /** Continues the request after it has waited for tokens of its workspace's rate limit. */
     private fun resume() {
+        stopWaitingForLoan()
         val waitingRequest = trafficRequest
         when {
             isFinished || waitingRequest == null -> return
@@ -181,6 +191,7 @@
     private fun release() {
         isFinished = true
         deadlineTimer?.remove()
+        if (loanTimer != null) stopWaitingForLoan()
         onFinished(this)
     }
 
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
@@ -182,11 +182,11 @@
         nowMs: Long,
         request: TrafficRequest,
     ): RequestAction {
-        val decision = request.workspace?.let { rateLimiter.takeAfterWait(nowMs, it.id) } ?: RateLimitDecision.Granted
-        return if (decision is RateLimitDecision.Refused) {
-            RequestAction.Refuse(RefusalCause.RATE_LIMIT_EXCEEDED, decision.retryAfterMs)
-        } else {
-            next(nowMs, request, lastFailure = null)
+        val decision = request.workspace?.let { rateLimiter.takeAfterWait(nowMs, it.id, ++request.loanWaits) } ?: RateLimitDecision.Granted
+        return when (decision) {
+            is RateLimitDecision.Refused -> RequestAction.Refuse(RefusalCause.RATE_LIMIT_EXCEEDED, decision.retryAfterMs)
+            is RateLimitDecision.Pending -> RequestAction.Wait(decision.afterMs)
+            is RateLimitDecision.Granted -> next(nowMs, request, lastFailure = null)
         }
     }
 
@@ -196,6 +196,9 @@
         request: LoanRequest,
     ): LoanGrant? = rateLimiter.lend(nowMs, request)
 
+    /** Gives up this host's token pools, because it is about to stop. */
+    fun leave(nowMs: Long) = rateLimiter.leave(nowMs)
+
     /** Adds the tokens that a peer has lent. */
     fun onLoan(
         nowMs: Long,
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficRequest.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficRequest.kt
@@ -28,6 +28,9 @@
     var attempts: Int = 0
         internal set
 
+    /** Number of times that the request has waited for rate tokens of a peer. */
+    internal var loanWaits: Int = 0
+
     /** Number of attempts that a worker may have executed. */
     internal var possibleExecutions: Int = 0
     internal val triedWorkers = LinkedHashSet<WorkerId>()
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/FleetView.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/FleetView.kt
@@ -8,10 +8,11 @@
  * The store provides the list of hosts, but only a host's own reports prove that it is alive. An outage of the store therefore
  * removes no host, and a failed host is soon no longer offered to callers.
  *
+ * @property self this host
  * @param minFleetSize fleet size that is assumed as long as fewer hosts are known
  */
 class FleetView(
-    private val self: EntryHostInfo,
+    val self: EntryHostInfo,
     private val settings: FleetSettings = FleetSettings(),
     private val minFleetSize: Int = 1,
 ) {
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/BorrowedTokens.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/BorrowedTokens.kt
@@ -1,6 +1,5 @@
 package io.kumquatmill.traffic.ratelimit
 
-import kotlin.math.max
 import kotlin.math.min
 
 /**
@@ -13,17 +12,25 @@
 internal class BorrowedTokens(
     private val settings: RateLimitSettings,
 ) {
+    private class PendingRequest(
+        val lender: String,
+        val sentAtMs: Long,
+    )
+
     private var tokens = 0.0
     private var expiresAtMs = Long.MIN_VALUE
     private var requestedAtMs = Long.MIN_VALUE / 2
-    private val lenderByPendingRequest = HashMap<Long, String>()
+    private val pendingRequests = HashMap<Long, PendingRequest>()
     private val lastRequestByLender = HashMap<String, Long>()
 
     /** Returns whether a new loan request may be sent, as the previous ones have had time to be answered. */
     fun mayRequest(nowMs: Long): Boolean = nowMs - requestedAtMs >= settings.loanRequestIntervalMs
 
     /** Returns whether a pending loan request may still be answered. */
-    fun hasPendingRequest(nowMs: Long): Boolean = lenderByPendingRequest.isNotEmpty() && !mayRequest(nowMs)
+    fun hasPendingRequest(nowMs: Long): Boolean = pendingRequests.values.any { nowMs - it.sentAtMs < settings.loanRequestIntervalMs }
+
+    /** Returns how long the latest pending loan request may still be answered in time for a waiting request, in milliseconds. */
+    fun pendingMs(nowMs: Long): Long = pendingRequests.values.maxOfOrNull { it.sentAtMs + settings.loanWaitMs - nowMs } ?: 0
 
     /** Returns the number of the last request to [lender], or 0 if there was none; lenders are asked in turn. */
     fun lastRequestTo(lender: String): Long = lastRequestByLender[lender] ?: 0
@@ -34,9 +41,9 @@
         number: Long,
         lender: String,
     ) {
-        if (nowMs != requestedAtMs) lenderByPendingRequest.clear()
+        pendingRequests.values.removeIf { nowMs - it.sentAtMs > settings.loanTtlMs }
         requestedAtMs = nowMs
-        lenderByPendingRequest[number] = lender
+        pendingRequests[number] = PendingRequest(lender, nowMs)
         lastRequestByLender[lender] = number
     }
 
@@ -45,10 +52,11 @@
         nowMs: Long,
         grant: LoanGrant,
     ) {
-        val isPending = lenderByPendingRequest[grant.number] == grant.lender && nowMs - requestedAtMs <= settings.loanTtlMs
-        if (!isPending) return
-        lenderByPendingRequest.remove(grant.number)
-        tokens = available(nowMs) + max(0.0, grant.tokens)
+        val request = pendingRequests[grant.number]
+        if (request == null || request.lender != grant.lender || nowMs - request.sentAtMs > settings.loanTtlMs) return
+        pendingRequests.remove(grant.number)
+        if (grant.tokens <= 0) return
+        tokens = available(nowMs) + grant.tokens
         expiresAtMs = nowMs + settings.loanTtlMs
     }
 
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/LoanGrant.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/LoanGrant.kt
@@ -3,7 +3,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
-/** Tokens that [lender] has taken out of its own bucket for the [LoanRequest] with the same [number]. */
+/** Tokens that [lender] has taken out of its own bucket for the [LoanRequest] with the same [number]; 0 if it has none to lend. */
 @Serializable
 @SerialName("io.kumquatmill.traffic.allowance.LoanGrant")
 data class LoanGrant(
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/RateLimitSettings.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/RateLimitSettings.kt
@@ -37,4 +37,8 @@
      * admitted. The platform tolerates 20. Each host holds at least one and at most two of them.
      */
     val extraTokens: Double = 14.0,
+    /** The tokens of a workspace are pooled on few hosts if its rate divided by the number of hosts is lower; see [TokenPools]. */
+    val pooledBelowPerHostPerS: Double = 2.0,
+    /** How long a request waits for a token of a pool host in its own region; zones of a region are a few milliseconds apart. */
+    val ownRegionLoanWaitMs: Long = 30,
 )
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/RateShare.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/RateShare.kt
@@ -28,7 +28,11 @@
 
     private var raisedAtMs = Long.MIN_VALUE / 2
 
-    /** Recomputes the share of a rate of [ratePerS] in a fleet of [hosts] hosts, given the liveness of all [peers]. */
+    /**
+     * Recomputes the share of a rate of [ratePerS] in a fleet of [hosts] hosts, given the liveness of all [peers].
+     *
+     * @param poolDemand demand on the pool hosts, which alone have shares, or null if every host has one
+     */
     fun update(
         nowMs: Long,
         ratePerS: Double,
@@ -36,23 +40,32 @@
         peers: List<PeerLiveness>,
         isIsolated: Boolean,
         raiseIntervalMs: Long,
+        poolDemand: PoolDemand? = null,
     ) {
         val evenShare = settings.evenFraction / hosts
         if (isIsolated) {
             value = evenShare
             return
         }
+        if (poolDemand != null && poolDemand.ownPerS == null) {
+            value = 0.0
+            return
+        }
         val freshReports = peers.filterIsInstance<PeerLiveness.Fresh>().map { it.report }
         val pool = max(0.0, 1 - peers.sumOf { shareWithoutReport(it, evenShare) })
         val idlePerS = ratePerS * settings.idleFraction / hosts
-        val demands = freshReports.map { (it.demandPerS[workspace] ?: 0.0) + idlePerS }
-        val ownDemand = reportedDemandPerS + idlePerS
+        val demands =
+            freshReports.map { report ->
+                if (poolDemand == null) (report.demandPerS[workspace] ?: 0.0) + idlePerS else poolDemand.peerPerS[report.host] ?: 0.0
+            }
+        val ownDemand = poolDemand?.ownPerS ?: (reportedDemandPerS + idlePerS)
         val sharePerDemand = pool / (demands.sum() + ownDemand)
         val allocations =
             freshReports.mapIndexed { index, report ->
                 val target = demands[index] * sharePerDemand
                 val need = min(target, demands[index] * settings.headroom / ratePerS)
-                PeerAllocation(target, need, share = shareOf(report) ?: min(target, settings.idleFraction / hosts))
+                val unreportedShare = if (poolDemand == null) min(target, settings.idleFraction / hosts) else 0.0
+                PeerAllocation(target, need, share = shareOf(report) ?: unreportedShare)
             }
         val target = ownDemand * sharePerDemand
         val unclaimed = pool - allocations.sumOf { it.share } - value
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/WorkspaceRateLimiter.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/WorkspaceRateLimiter.kt
@@ -2,6 +2,7 @@
 
 import io.kumquatmill.common.id.WorkspaceId
 import io.kumquatmill.limits.bucket.TokenBucket
+import io.kumquatmill.traffic.fleet.EntryHostInfo
 import io.kumquatmill.traffic.fleet.FleetView
 import io.kumquatmill.traffic.fleet.PeerLiveness
 import io.kumquatmill.traffic.fleet.PeerReport
@@ -17,7 +18,8 @@
  * Distributed rate limiter that keeps each workspace within its rate and burst over all hosts, without a network call per request.
  *
  * A workspace's callers use few hosts and move between them. Each host therefore uses a [RateShare] of the rate and burst, and
- * borrows tokens from peers that do not need them until its share has adapted.
+ * borrows tokens from peers that do not need them until its share has adapted. If the rate is too low to be divided among all hosts,
+ * only its [TokenPools] have shares, and the other hosts borrow a token for each request.
  *
  * @param sendLoanRequest sends a loan request to a peer
  */
@@ -42,6 +44,8 @@
 
     private val limits = HashMap<WorkspaceId, WorkspaceLimit>()
     private var lastLoanRequestNumber = 0L
+    private var pools = TokenPools(setOf(fleet.self), fleet.self)
+    private var isLeaving = false
 
     /** Applies the workspaces of a new desired state. Buckets keep their tokens, up to their new capacity. */
     fun update(
@@ -66,7 +70,17 @@
     fun rebalance(nowMs: Long) {
         val peers = fleet.peerLiveness(nowMs)
         val isIsolated = fleet.isIsolated(nowMs)
-        limits.values.forEach { rebalance(nowMs, it, peers, isIsolated) }
+        val reports = peers.filterIsInstance<PeerLiveness.Fresh>().map { it.report }
+        val servingHosts = reports.filter { it.isServing }.mapTo(HashSet()) { it.toHostInfo() }
+        if (!isLeaving || servingHosts.isEmpty()) servingHosts += fleet.self
+        if (servingHosts != pools.hosts) pools = TokenPools(servingHosts, fleet.self)
+        limits.values.forEach { rebalance(nowMs, it, peers, reports, isIsolated) }
+    }
+
+    /** Gives up this host's token pools, because it is about to stop; the next reports tell the peers so. */
+    fun leave(nowMs: Long) {
+        isLeaving = true
+        rebalance(nowMs)
     }
 
     /** Takes a token for a request of [workspace]; always succeeds for a workspace without a rate limit. */
@@ -78,6 +92,7 @@
         limit.demand.count(nowMs)
         if (nowMs - limit.updatedAtMs > settings.staleAfterMs) rebalance(nowMs)
         val isTaken = tryTake(nowMs, limit)
+        if (isPooled(limit)) return if (isTaken) RateLimitDecision.Granted else requestFromPool(nowMs, limit, previousWaits = 0)
         requestLoans(nowMs, limit)
         return when {
             isTaken -> RateLimitDecision.Granted
@@ -86,16 +101,27 @@
         }
     }
 
-    /** Tries again for a request of [workspace] that was [RateLimitDecision.Pending]; it is either granted or refused. */
+    /**
+     * Tries again for a request of [workspace] that was [RateLimitDecision.Pending] the last [waits] times. It stays pending as long as
+     * there is another pool host to ask.
+     */
     fun takeAfterWait(
         nowMs: Long,
         workspace: WorkspaceId,
+        waits: Int = 1,
     ): RateLimitDecision {
         val limit = limits[workspace] ?: return RateLimitDecision.Granted
-        return if (tryTake(nowMs, limit)) RateLimitDecision.Granted else refused(nowMs, limit)
+        return when {
+            tryTake(nowMs, limit) -> RateLimitDecision.Granted
+            isPooled(limit) -> requestFromPool(nowMs, limit, waits)
+            else -> refused(nowMs, limit)
+        }
     }
 
-    /** Takes spare tokens for [request] out of this host's bucket; returns null if there are none to lend. */
+    /**
+     * Takes spare tokens for [request] out of this host's bucket. Without any it returns null, or a grant of none if tokens are pooled,
+     * so that the borrower asks the next pool host.
+     */
     fun lend(
         nowMs: Long,
         request: LoanRequest,
@@ -103,9 +129,9 @@
         val limit = limits[WorkspaceId(request.workspace)]
         if (limit == null || request.lender != fleet.selfName) return null
         limit.bucket.refill(nowMs)
-        val spare = limit.bucket.level - reserve(nowMs, limit)
+        val spare = limit.bucket.level - if (isPooled(limit)) 0.0 else reserve(nowMs, limit)
         val tokens = floor(min(request.tokens, spare))
-        if (tokens < 1) return null
+        if (tokens < 1) return if (isPooled(limit)) LoanGrant(request.lender, request.workspace, 0.0, request.number) else null
         return LoanGrant(request.lender, request.workspace, limit.bucket.withdraw(nowMs, tokens), request.number)
     }
 
@@ -155,13 +181,48 @@
     private fun mayReceiveLoan(
         nowMs: Long,
         limit: WorkspaceLimit,
+    ): Boolean = !isFarAboveRate(nowMs, limit) && limit.borrowed.hasPendingRequest(nowMs)
+
+    /** Returns whether the demand at all hosts is so far above the rate that no host can have tokens to lend. */
+    private fun isFarAboveRate(
+        nowMs: Long,
+        limit: WorkspaceLimit,
     ): Boolean {
-        val workspace = limit.workspace
         val peerDemandPerS = freshReports(nowMs).sumOf { it.demandPerS[limit.tag] ?: 0.0 }
-        val isFarAboveRate = limit.demand.ratePerS(nowMs) + peerDemandPerS > workspace.ratePerS * settings.noLoanDemandFactor
-        return !isFarAboveRate && limit.borrowed.hasPendingRequest(nowMs)
+        return limit.demand.ratePerS(nowMs) + peerDemandPerS > limit.workspace.ratePerS * settings.noLoanDemandFactor
+    }
+
+    /** Returns whether the rate is too low to be divided among all hosts. */
+    private fun isPooled(limit: WorkspaceLimit): Boolean =
+        !limit.isTagAmbiguous && limit.workspace.ratePerS < settings.pooledBelowPerHostPerS * fleet.size()
+
+    /**
+     * Asks the pool hosts for a token, one after the other; [previousWaits] of them have not lent one. While the demand is far above the
+     * rate, only the first one is asked, and seldom, for the tokens of all requests that arrive in the meantime.
+     */
+    private fun requestFromPool(
+        nowMs: Long,
+        limit: WorkspaceLimit,
+        previousWaits: Int,
+    ): RateLimitDecision {
+        val lenders = lendersOfPool(limit)
+        val isFarAboveRate = isFarAboveRate(nowMs, limit)
+        val mayAsk = !isFarAboveRate || (previousWaits == 0 && limit.borrowed.mayRequest(nowMs))
+        val lender = if (mayAsk) lenders.getOrNull(previousWaits) else null
+        if (lender == null) {
+            // The last pool host that was asked may answer late.
+            val pendingMs = if (!isFarAboveRate && previousWaits == lenders.size) limit.borrowed.pendingMs(nowMs) else 0
+            return if (pendingMs > 0) RateLimitDecision.Pending(pendingMs) else refused(nowMs, limit)
+        }
+        val tokens = if (isFarAboveRate) limit.demand.ratePerS(nowMs) * settings.loanRequestIntervalMs / MILLIS_PER_SECOND else 1.0
+        requestLoan(nowMs, limit, lender.host, max(1.0, floor(tokens)))
+        val isInOwnRegion = lender.region == fleet.self.region
+        return RateLimitDecision.Pending(if (isInOwnRegion) settings.ownRegionLoanWaitMs else settings.loanWaitMs)
     }
 
+    private fun lendersOfPool(limit: WorkspaceLimit): List<EntryHostInfo> =
+        pools.of(limit.workspace.id).filter { it.host != fleet.selfName }
+
     private fun freshReports(nowMs: Long): List<PeerReport> =
         fleet.peerLiveness(nowMs).filterIsInstance<PeerLiveness.Fresh>().map { it.report }
 
@@ -178,16 +239,22 @@
     ) {
         val needed = max(1.0, reserve(nowMs, limit))
         if (limit.bucket.level + limit.borrowed.available(nowMs) >= needed || !limit.borrowed.mayRequest(nowMs)) return
-        val workspace = limit.workspace
         freshReports(nowMs)
             .filter { sparePerS(it, limit) > 0 }
             .sortedBy { limit.borrowed.lastRequestTo(it.host) }
             .take(settings.lenders)
-            .forEach { report ->
-                val number = ++lastLoanRequestNumber
-                limit.borrowed.onRequested(nowMs, number, report.host)
-                sendLoanRequest(LoanRequest(fleet.selfName, fleet.selfIp, report.host, workspace.id.value, ceil(needed), number))
-            }
+            .forEach { report -> requestLoan(nowMs, limit, report.host, ceil(needed)) }
+    }
+
+    private fun requestLoan(
+        nowMs: Long,
+        limit: WorkspaceLimit,
+        lender: String,
+        tokens: Double,
+    ) {
+        val number = ++lastLoanRequestNumber
+        limit.borrowed.onRequested(nowMs, number, lender)
+        sendLoanRequest(LoanRequest(fleet.selfName, fleet.selfIp, lender, limit.workspace.id.value, tokens, number))
     }
 
     /** Returns the requests per second that a peer may admit beyond its demand. */
@@ -203,23 +270,48 @@
         nowMs: Long,
         limit: WorkspaceLimit,
         peers: List<PeerLiveness>,
+        reports: List<PeerReport>,
         isIsolated: Boolean,
     ) {
         val workspace = limit.workspace
+        val isEvenShare = isIsolated || limit.isTagAmbiguous
+        val poolDemand = if (isPooled(limit)) poolDemand(limit, reports) else null
         limit.share.update(
             nowMs = nowMs,
             ratePerS = workspace.ratePerS,
             hosts = fleet.size(),
             peers = peers,
-            isIsolated = isIsolated || limit.isTagAmbiguous,
+            isIsolated = isEvenShare,
             raiseIntervalMs = settings.raiseIntervalReports * fleet.reportIntervalMs(),
+            poolDemand = poolDemand,
         )
         limit.updatedAtMs = nowMs
         val share = limit.share.value
-        val extraTokens = (settings.extraTokens / fleet.size()).coerceIn(1.0, MAX_EXTRA_TOKENS)
+        val extraTokens =
+            when {
+                poolDemand == null || isEvenShare -> (settings.extraTokens / fleet.size()).coerceIn(1.0, MAX_EXTRA_TOKENS)
+                poolDemand.ownPerS == null -> 0.0
+                else -> settings.extraTokens / (poolDemand.peerPerS.size + 1)
+            }
         limit.bucket.rescale(nowMs, share * workspace.ratePerS, share * workspace.burst * settings.burstFraction + extraTokens)
     }
 
+    /** Returns the demand on each pool host: that of its region, and a part of the rate so that first requests are admitted. */
+    private fun poolDemand(
+        limit: WorkspaceLimit,
+        reports: List<PeerReport>,
+    ): PoolDemand {
+        val poolHosts = pools.of(limit.workspace.id)
+        val idlePerS = limit.workspace.ratePerS * settings.idleFraction / poolHosts.size
+        val demandByRegion = HashMap<String, Double>()
+        demandByRegion[fleet.self.region] = limit.share.reportedDemandPerS
+        reports.forEach { report -> demandByRegion.merge(report.region, report.demandPerS[limit.tag] ?: 0.0, Double::plus) }
+        val demandByHost = poolHosts.associate { it.host to idlePerS + (demandByRegion[it.region] ?: 0.0) }
+        return PoolDemand(ownPerS = demandByHost[fleet.selfName], peerPerS = demandByHost - fleet.selfName)
+    }
+
+    private fun PeerReport.toHostInfo() = EntryHostInfo(host, ip, region, availabilityZone)
+
     private companion object {
         /** Retry time for a bucket that is never refilled far enough. */
         const val NO_TOKENS_RETRY_AFTER_MS = 1_000L
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/ratelimit/LoanSimulationTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/ratelimit/LoanSimulationTest.kt
@@ -78,11 +78,19 @@
             if (!isActive[caller] || random.nextDouble() >= requestsPerMs) return
             requests++
             val host = hosts[hostOfCaller[caller]]
-            when (val decision = host.take(nowMs, alpha)) {
+            onDecision(host, host.take(nowMs, alpha), waits = 0)
+        }
+
+        private fun onDecision(
+            host: WorkspaceRateLimiter,
+            decision: RateLimitDecision,
+            waits: Int,
+        ) {
+            when (decision) {
                 is RateLimitDecision.Granted -> return
                 is RateLimitDecision.Refused -> refused++
                 is RateLimitDecision.Pending ->
-                    after(decision.afterMs) { if (host.takeAfterWait(nowMs, alpha) !is RateLimitDecision.Granted) refused++ }
+                    after(decision.afterMs) { onDecision(host, host.takeAfterWait(nowMs, alpha, waits + 1), waits + 1) }
             }
         }
     }
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/ratelimit/RateLimitSimulationTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/ratelimit/RateLimitSimulationTest.kt
@@ -17,7 +17,20 @@
 class RateLimitSimulationTest {
     private val alpha = WorkspaceId("alpha")
 
+    /** Size of the fleet and limit of the workspace; the tokens of a rate that is low for the fleet are pooled. */
+    private class Deployment(
+        val hosts: Int,
+        val ratePerS: Double,
+        val burst: Double,
+        val offeredRatesPerS: List<Double>,
+        val reportIntervalMs: Long,
+    ) {
+        /** Bound of the platform: the rate over the window plus the burst, a tenth more, plus 20 requests. */
+        val bound = (ratePerS * WINDOW_MS / 1_000 + burst) * 1.1 + 20
+    }
+
     private class Host(
+        private val deployment: Deployment,
         val record: EntryHostInfo,
         nowMs: Long,
         val incarnation: Long,
@@ -27,7 +40,7 @@
         val fleet = FleetView(record, minFleetSize = MIN_FLEET_SIZE).apply { updateHosts(nowMs, records) }
         val rateLimiter =
             WorkspaceRateLimiter(fleet, sendLoanRequest = sendLoanRequest).apply {
-                update(nowMs, listOf(workspace(ratePerS = RATE_PER_S, burst = BURST)))
+                update(nowMs, listOf(workspace(ratePerS = deployment.ratePerS, burst = deployment.burst)))
             }
         var sequence = 0L
         var partitionedUntilMs = 0L
@@ -37,6 +50,7 @@
     }
 
     private inner class Simulation(
+        private val deployment: Deployment,
         seed: Long,
     ) {
         private val random = Random(seed)
@@ -44,17 +58,17 @@
         private var brokenLink = emptySet<String>()
         private var linkBrokenUntilMs = 0L
         private val deliveries = HashMap<Long, ArrayList<() -> Unit>>()
-        private val hosts = (1..HOSTS).mapTo(ArrayList()) { Host(host("h$it"), 0, 1, records(HOSTS), ::lend) }
+        private val hosts = records(deployment.hosts).mapTo(ArrayList()) { Host(deployment, it, 0, 1, records(deployment.hosts), ::lend) }
         private val grantedAtMs = ArrayList<Long>()
 
-        private fun records(count: Int) = (1..count).map { host("h$it") }
+        private fun records(count: Int) = (1..count).map { host("h$it", zones[it % zones.size]) }
 
         fun run(): List<Long> {
             for (now in 0L until DURATION_MS) {
                 nowMs = now
                 deliveries.remove(now)?.forEach { it() }
                 if (nowMs % FAULT_INTERVAL_MS == 0L) injectFault(nowMs)
-                if (nowMs % REPORT_INTERVAL_MS == 0L) hosts.filter { it.isUp(nowMs) }.forEach { sendReport(nowMs, it) }
+                if (nowMs % deployment.reportIntervalMs == 0L) hosts.filter { it.isUp(nowMs) }.forEach { sendReport(nowMs, it) }
                 hosts.filter { it.isUp(nowMs) }.forEach { serve(nowMs, it) }
             }
             return grantedAtMs
@@ -68,7 +82,19 @@
         ) {
             if (nowMs % REBALANCE_INTERVAL_MS == 0L) host.rateLimiter.rebalance(nowMs)
             val hasRequest = random.nextDouble() < host.offeredPerS / 1_000
-            if (hasRequest && host.rateLimiter.take(nowMs, alpha) is RateLimitDecision.Granted) grantedAtMs += nowMs
+            if (hasRequest) onDecision(host, host.rateLimiter.take(nowMs, alpha), waits = 0)
+        }
+
+        private fun onDecision(
+            host: Host,
+            decision: RateLimitDecision,
+            waits: Int,
+        ) {
+            if (decision is RateLimitDecision.Granted) grantedAtMs += nowMs
+            if (decision !is RateLimitDecision.Pending) return
+            deliveries.getOrPut(nowMs + decision.afterMs) { ArrayList() } += {
+                if (host.isUp(nowMs)) onDecision(host, host.rateLimiter.takeAfterWait(nowMs, alpha, waits + 1), waits + 1)
+            }
         }
 
         /** Returns whether messages can pass: a host may be partitioned from all hosts or from a single one. */
@@ -117,13 +143,13 @@
         }
 
         private fun injectFault(nowMs: Long) {
-            hosts.forEach { if (random.nextInt(3) == 0) it.offeredPerS = offeredRatesPerS.random(random) }
+            hosts.forEach { if (random.nextInt(3) == 0) it.offeredPerS = deployment.offeredRatesPerS.random(random) }
             val index = random.nextInt(hosts.size)
             val host = hosts[index]
             val untilMs = nowMs + random.nextLong(500, 12_000)
             when (random.nextInt(7)) {
                 0 -> host.partitionedUntilMs = untilMs
-                1 -> hosts.shuffled(random).take(3).forEach { it.partitionedUntilMs = untilMs }
+                1 -> hosts.shuffled(random).take(hosts.size * 3 / 7).forEach { it.partitionedUntilMs = untilMs }
                 2 -> host.stalledUntilMs = minOf(untilMs, nowMs + 5_000)
                 3 -> kill(nowMs, index)
                 4 -> if (random.nextInt(4) == 0) hosts.indices.forEach { kill(nowMs, it) }
@@ -131,10 +157,15 @@
                     brokenLink = hosts.shuffled(random).take(2).mapTo(HashSet()) { it.record.host }
                     linkBrokenUntilMs = untilMs
                 }
-                5 -> if (hosts.size < HOSTS + 2) hosts += Host(host("h${hosts.size + 1}"), nowMs, nowMs, records(hosts.size + 1), ::lend)
+                5 -> if (hosts.size < deployment.hosts + 2) addHost(nowMs)
             }
         }
 
+        private fun addHost(nowMs: Long) {
+            val all = records(hosts.size + 1)
+            hosts += Host(deployment, all.last(), nowMs, nowMs, all, ::lend)
+        }
+
         /** Restarts a host, which loses its state and serves again once it has the host records, from the store or from a peer. */
         private fun kill(
             nowMs: Long,
@@ -143,7 +174,7 @@
             val killed = hosts[index]
             val restartAtMs = nowMs + random.nextLong(300, 3_000)
             hosts[index] =
-                Host(killed.record, restartAtMs, restartAtMs, records(hosts.size), ::lend).apply {
+                Host(deployment, killed.record, restartAtMs, restartAtMs, records(hosts.size), ::lend).apply {
                     downUntilMs = restartAtMs
                     offeredPerS = killed.offeredPerS
                 }
@@ -158,28 +189,32 @@
         }
     }
 
-    @Test
-    fun `no window exceeds the rate limit whatever faults the hosts have`() {
+    private fun violations(deployment: Deployment): List<Pair<Long, Int>> {
         val firstSeed = System.getProperty("kumquatmill.seed")?.toLong()
         val seeds = if (firstSeed == null) 1L..SEEDS else firstSeed until firstSeed + SEEDS
-        val violations = seeds.map { it to maxInWindow(Simulation(it).run()) }.filter { (_, max) -> max > BOUND }
-        assertEquals(emptyList(), violations, "seeds and maximum requests in a window of $WINDOW_MS ms, expected at most $BOUND")
+        return seeds.map { it to maxInWindow(Simulation(deployment, it).run()) }.filter { (_, max) -> max > deployment.bound }
+    }
+
+    @Test
+    fun `no window exceeds the rate limit whatever faults the hosts have`() {
+        val deployment =
+            Deployment(hosts = 7, ratePerS = 100.0, burst = 100.0, listOf(0.0, 5.0, 30.0, 100.0, 400.0), reportIntervalMs = 500)
+        assertEquals(emptyList(), violations(deployment), "seeds and maximum requests in a window, expected at most ${deployment.bound}")
+    }
+
+    @Test
+    fun `no window exceeds a rate limit whose tokens are pooled whatever faults the hosts have`() {
+        val deployment = Deployment(hosts = 25, ratePerS = 30.0, burst = 30.0, listOf(0.0, 0.2, 1.0, 3.0, 50.0), reportIntervalMs = 1_000)
+        assertEquals(emptyList(), violations(deployment), "seeds and maximum requests in a window, expected at most ${deployment.bound}")
     }
 
     private companion object {
         const val SEEDS = 60L
-        const val HOSTS = 7
         const val MIN_FLEET_SIZE = 3
         const val DURATION_MS = 40_000L
         const val FAULT_INTERVAL_MS = 1_000L
-        const val REPORT_INTERVAL_MS = 500L
         const val REBALANCE_INTERVAL_MS = 250L
-        const val RATE_PER_S = 100.0
-        const val BURST = 100.0
         const val WINDOW_MS = 5_000
-
-        /** Bound of the platform: the rate over the window plus the burst, a tenth more, plus 20 requests. */
-        const val BOUND = (RATE_PER_S * 5 + BURST) * 1.1 + 20
-        val offeredRatesPerS = listOf(0.0, 5.0, 30.0, 100.0, 400.0)
+        val zones = listOf("east-a", "west-a", "east-b")
     }
 }
