Bound what a server may send, and contain malformed input and unexpected errors

Cause: from the users' list. One worker that sends an endless header line exhausted the heap after 22 MB, an endless body or endless interim responses never ended the call (seen before with the client alone and the deployment's heap). A response without an id was believed when it said "not run", also on a connection that was in use before, where it may be a late copy.

Change: a connection may send 64 KB that are not part of a body per response, and some framing for each byte of a body; all incomplete responses of a host together hold at most a fifth of its heap, one at most 4 MB (16 MB before), and 32 KB of each are free, so that usual responses pass while others use up the rest. Undertow's client has no such hook: the limit is installed as a conduit when the connection opens. Errors end the one request (502, which promises nothing) or are logged, and loops go on.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
@@ -40,11 +40,13 @@
     private var workerResponse: CallResult.Response? = null
     private var deadlineTimer: XnioExecutor.Key? = null
     private var loanTimer: XnioExecutor.Key? = null
-    private val resumeOnGrant: () -> Unit = { resume() }
+    private val resumeOnGrant: () -> Unit = { guarded { resume() } }
     private var isCallerDisconnected = false
     private var isFinished = false
 
-    fun start() {
+    fun start() = guarded { begin() }
+
+    private fun begin() {
         val deadlineMs =
             exchange.requestHeaders
                 .getFirst(headerNames.deadline)
@@ -55,7 +57,7 @@
         trafficRequest = admittedRequest
         if (admittedRequest != null) {
             val timeLimitMs = maxOf(1, admittedRequest.deadlineAtMs - arrivedAtMs)
-            deadlineTimer = exchange.ioThread.executeAfter({ onDeadline() }, timeLimitMs, TimeUnit.MILLISECONDS)
+            deadlineTimer = exchange.ioThread.executeAfter({ guarded { onDeadline() } }, timeLimitMs, TimeUnit.MILLISECONDS)
             if (action is RequestAction.Send || action is RequestAction.Wait) disconnectWatch.start()
         }
         perform(action)
@@ -74,7 +76,7 @@
     private fun waitForLoan(action: RequestAction.Wait) {
         context.log.waitingForLoan(id, resolved.workspace?.id, action.afterMs)
         resolved.workspace?.let { context.loanWaiters.add(it.id, resumeOnGrant) }
-        loanTimer = exchange.ioThread.executeAfter({ resume() }, action.afterMs, TimeUnit.MILLISECONDS)
+        loanTimer = exchange.ioThread.executeAfter(resumeOnGrant, action.afterMs, TimeUnit.MILLISECONDS)
     }
 
     private fun stopWaitingForLoan() {
@@ -114,7 +116,7 @@
                 maxIdleConnections = action.maxIdleConnections,
                 connectTimeoutMs = minOf(CONNECT_TIMEOUT_MS, action.timeoutMs),
             )
-        call = context.httpClient.send(httpCall) { onCallResult(it) }
+        call = context.httpClient.send(httpCall) { guarded { onCallResult(it) } }
     }
 
     private fun onCallResult(callResult: CallResult) {
@@ -188,6 +190,19 @@
         exchange.endExchange()
     }
 
+    /** Runs [step] of this request. An unexpected error ends this request alone, with a response that does not say whether it has run. */
+    @Suppress("TooGenericExceptionCaught")
+    private fun guarded(step: () -> Unit) {
+        try {
+            step()
+        } catch (e: RuntimeException) {
+            context.log.requestBroken(id, e)
+            trafficRequest?.let { controller.abandon(clock.nowMs(), it, isWorkerSlow = false) }
+            call?.cancel()
+            respondLocally(LocalResponse.upstreamFailed("unexpected error"))
+        }
+    }
+
     private fun release() {
         isFinished = true
         deadlineTimer?.remove()
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/ResponseClassification.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/ResponseClassification.kt
@@ -20,6 +20,8 @@
     val isForOtherRequest = echoedId != null && echoedId != id
     return when {
         isForOtherRequest -> AttemptResult.Unknown("the answer belongs to request $echoedId")
+        // On a connection that was in use before, a response without an id may be a late copy of an earlier one.
+        echoedId == null && response.isConnectionReused -> AttemptResult.Unknown("the answer names no request")
         response.status == MISDIRECTED_REQUEST -> AttemptResult.Misdirected
         response.header(headerNames.notExecuted) != null -> AttemptResult.Shed(parseWorkerLoad(response, headerNames))
         echoedId == null -> AttemptResult.Unknown("the answer names no request")
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/CallResult.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/CallResult.kt
@@ -4,11 +4,12 @@
 
 /** Outcome of an [HttpCall], as observed on its connection. */
 sealed interface CallResult {
-    /** The complete response was received. */
+    /** The complete response was received; [isConnectionReused] states whether its connection had carried other responses before. */
     class Response(
         val status: Int,
         val headers: HeaderMap,
         val body: ByteArray,
+        val isConnectionReused: Boolean = false,
     ) : CallResult {
         /** Returns the first value of header [name], or null if it is absent. */
         fun header(name: String): String? = headers.getFirst(name)
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/CallTransfer.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/CallTransfer.kt
@@ -9,13 +9,14 @@
 import org.xnio.ChannelListener
 import org.xnio.channels.StreamSinkChannel
 import org.xnio.channels.StreamSourceChannel
-import java.io.ByteArrayOutputStream
 import java.io.IOException
 import java.nio.ByteBuffer
 
 /**
  * Sends [call] over [connection] and reads the complete response.
  *
+ * @param readLimit limit of what the server may send beside bodies, or null if the connection has none
+ * @param buffer holds the body until it is complete
  * @param onResponse called with the response, and with the time in milliseconds for which the connection may be kept idle; if that is not
  * positive, the connection must be closed
  * @param onIncomplete called with the cause if no complete response was received
@@ -23,15 +24,17 @@
 internal class CallTransfer(
     private val call: HttpCall,
     private val connection: ClientConnection,
-    private val maxResponseBytes: Int,
+    private val readLimit: ReadLimitConduit?,
+    private val buffer: ResponseBuffers.ResponseBuffer,
+    private val isConnectionReused: Boolean,
     private val onResponse: (response: CallResult.Response, idleTimeoutMs: Long) -> Unit,
     private val onIncomplete: (detail: String) -> Unit,
 ) {
     private val unsentBody: ByteBuffer = ByteBuffer.wrap(call.body)
-    private val responseBody = ByteArrayOutputStream()
     private var isRequestSent = false
 
     fun start() {
+        readLimit?.onRequest()
         val request = ClientRequest().setMethod(HttpString(call.method)).setPath(call.target)
         call.headers.forEach { (name, value) -> request.requestHeaders.add(HttpString(name), value) }
         if (call.body.isNotEmpty() || call.method in methodsWithBody) {
@@ -42,7 +45,7 @@
             object : ClientCallback<ClientExchange> {
                 override fun completed(result: ClientExchange) = onRequestStarted(result)
 
-                override fun failed(e: IOException) = onIncomplete("sending failed: ${e.message}")
+                override fun failed(e: IOException) = onIncomplete("sending failed: ${e.detail}")
             },
         )
     }
@@ -52,13 +55,13 @@
             object : ClientCallback<ClientExchange> {
                 override fun completed(result: ClientExchange) = readResponse(result)
 
-                override fun failed(e: IOException) = onIncomplete("no answer: ${e.message}")
+                override fun failed(e: IOException) = onIncomplete("no answer: ${e.detail}")
             },
         )
         try {
             writeBody(exchange.requestChannel)
         } catch (e: IOException) {
-            onIncomplete("sending failed: ${e.message}")
+            onIncomplete("sending failed: ${e.detail}")
         }
     }
 
@@ -77,7 +80,7 @@
                     ready.suspendWrites()
                     writeBody(ready)
                 } catch (e: IOException) {
-                    onIncomplete("sending failed: ${e.message}")
+                    onIncomplete("sending failed: ${e.detail}")
                 }
             },
         )
@@ -85,13 +88,14 @@
     }
 
     private fun readResponse(exchange: ClientExchange) {
+        readLimit?.onHead()
         val channel = exchange.responseChannel
         val listener =
             ChannelListener { ready: StreamSourceChannel ->
                 try {
                     readBody(exchange, ready)
                 } catch (e: IOException) {
-                    onIncomplete("the answer was cut: ${e.message}")
+                    onIncomplete("the answer was cut: ${e.detail}")
                 }
             }
         channel.readSetter.set(listener)
@@ -103,22 +107,19 @@
         channel: StreamSourceChannel,
     ) {
         connection.bufferPool.allocate().use { pooled ->
-            val buffer = pooled.buffer
+            val readBuffer = pooled.buffer
             while (true) {
-                buffer.clear()
-                val count = channel.read(buffer)
+                readBuffer.clear()
+                val count = channel.read(readBuffer)
                 if (count == 0) {
                     channel.resumeReads()
                     return
                 }
                 if (count < 0) return complete(exchange)
-                buffer.flip()
-                if (responseBody.size() + buffer.remaining() > maxResponseBytes) {
-                    return onIncomplete("the answer is longer than $maxResponseBytes bytes")
-                }
-                val chunk = ByteArray(buffer.remaining())
-                buffer.get(chunk)
-                responseBody.write(chunk)
+                readBuffer.flip()
+                readLimit?.onBodyBytes(count)
+                val refusal = buffer.add(ByteArray(readBuffer.remaining()).also { readBuffer.get(it) })
+                if (refusal != null) return onIncomplete(refusal)
             }
         }
     }
@@ -126,11 +127,11 @@
     private fun complete(exchange: ClientExchange) {
         val response = exchange.response
         val expectedBytes = response.responseHeaders.getFirst(Headers.CONTENT_LENGTH)?.toLongOrNull()
-        if (expectedBytes != null && expectedBytes != responseBody.size().toLong()) {
-            return onIncomplete("the answer was cut: ${responseBody.size()} of $expectedBytes bytes")
+        if (expectedBytes != null && expectedBytes != buffer.size.toLong()) {
+            return onIncomplete("the answer was cut: ${buffer.size} of $expectedBytes bytes")
         }
         onResponse(
-            CallResult.Response(response.responseCode, response.responseHeaders, responseBody.toByteArray()),
+            CallResult.Response(response.responseCode, response.responseHeaders, buffer.toByteArray(), isConnectionReused),
             idleTimeoutMs(exchange),
         )
     }
@@ -152,6 +153,9 @@
         return if (keepAliveTimeoutS == null) DEFAULT_IDLE_TIMEOUT_MS else keepAliveTimeoutS * MILLIS_PER_SECOND - IDLE_TIMEOUT_MARGIN_MS
     }
 
+    private val IOException.detail: String
+        get() = message ?: javaClass.simpleName
+
     private companion object {
         val methodsWithBody = setOf("POST", "PUT", "PATCH")
         val keepAliveTimeoutPattern = Regex("timeout=(\\d+)")
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/EventLoopHttpClient.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/EventLoopHttpClient.kt
@@ -11,6 +11,7 @@
 import org.xnio.XnioIoThread
 import java.io.IOException
 import java.net.URI
+import java.util.IdentityHashMap
 import java.util.concurrent.TimeUnit
 
 /**
@@ -23,9 +24,13 @@
     private val loop: XnioIoThread,
     private val bufferPool: ByteBufferPool,
     private val clock: MonotonicClock,
-    private val maxResponseBytes: Int = MAX_RESPONSE_BYTES,
+    private val responseBuffers: ResponseBuffers = ResponseBuffers(),
 ) {
     private val idleConnections = IdleConnectionPool(clock)
+    private val connectThread = LimitedConnectThread(loop)
+
+    /** Limits of the open connections; a connection leaves when it closes. */
+    private val readLimits = IdentityHashMap<ClientConnection, ReadLimitConduit>()
 
     /** Starts [call] and calls [onResult] once, unless the call is cancelled. Must run on the event loop. */
     fun send(
@@ -43,12 +48,13 @@
         private var isFinished = false
         private var isConnected = false
         private var connection: ClientConnection? = null
+        private val buffer = responseBuffers.open()
         private val connectTimer = loop.executeAfter({ onConnectTimeout() }, call.connectTimeoutMs, TimeUnit.MILLISECONDS)
         private val timeoutTimer = call.timeoutMs?.let { loop.executeAfter({ onTimeout(it) }, it, TimeUnit.MILLISECONDS) }
 
         fun start() {
             val reused = idleConnections.acquire(call.address, call.maxConnectionIdleMs)
-            if (reused != null) return startTransfer(reused)
+            if (reused != null) return startTransfer(reused, isReused = true)
             idleConnections.closeExcess(call.address, call.maxIdleConnections)
             connect()
         }
@@ -75,21 +81,30 @@
         private fun connect() {
             val onConnected =
                 object : ClientCallback<ClientConnection> {
-                    override fun completed(result: ClientConnection) = if (isFinished) IoUtils.safeClose(result) else startTransfer(result)
+                    override fun completed(result: ClientConnection) {
+                        if (isFinished) return IoUtils.safeClose(result)
+                        readLimits[result] =
+                            checkNotNull(connectThread.lastReadLimit) { "connection to ${call.address} was opened without a read limit" }
+                        result.addCloseListener { loop.execute { readLimits.remove(result) } }
+                        startTransfer(result, isReused = false)
+                    }
 
                     override fun failed(e: IOException) = complete(CallResult.NotSent("no connection: ${e.message}"))
                 }
             val uri = URI("http", null, call.address.ip, call.address.port, null, null, null)
-            UndertowClient.getInstance().connect(onConnected, uri, loop, bufferPool, connectOptions)
+            UndertowClient.getInstance().connect(onConnected, uri, connectThread, bufferPool, connectOptions)
         }
 
-        private fun startTransfer(connection: ClientConnection) {
+        private fun startTransfer(
+            connection: ClientConnection,
+            isReused: Boolean,
+        ) {
             connectTimer.remove()
             this.connection = connection
             isConnected = true
             // The connection may close while the last bytes of the response are still being read; those take precedence.
             connection.addCloseListener { if (!isFinished) loop.execute { fail("the connection was closed") } }
-            CallTransfer(call, connection, maxResponseBytes, ::onResponse, ::fail).start()
+            CallTransfer(call, connection, readLimits[connection], buffer, isReused, ::onResponse, ::fail).start()
         }
 
         private fun onResponse(
@@ -126,14 +141,13 @@
 
         private fun markFinished() {
             isFinished = true
+            buffer.release()
             connectTimer.remove()
             timeoutTimer?.remove()
         }
     }
 
     private companion object {
-        /** Responses are buffered until they are known to be complete; a larger one is reported as incomplete. */
-        const val MAX_RESPONSE_BYTES = 16 * 1024 * 1024
         val connectOptions: OptionMap = OptionMap.create(Options.TCP_NODELAY, true)
     }
 }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/RequestLog.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/RequestLog.kt
@@ -26,6 +26,16 @@
         .addKeyValue("afterMs", afterMs)
         .log("waiting for rate tokens from a peer")
 
+    /** Logs that the request [id] ends because of an unexpected [error]. */
+    fun requestBroken(
+        id: String,
+        error: RuntimeException,
+    ) = logger
+        .atError()
+        .addKeyValue("request", id)
+        .setCause(error)
+        .log("unexpected error")
+
     /** Logs that the request is sent to [worker], which is estimated to hold [load] requests. */
     fun attemptStarted(
         id: String,
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/PeerSocket.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/PeerSocket.kt
@@ -45,6 +45,8 @@
 
     override fun close() = socket.close()
 
+    /** Receives until the socket is closed; no message and no error ends the loop. */
+    @Suppress("TooGenericExceptionCaught")
     private fun receiveLoop() {
         val buffer = ByteArray(MAX_DATAGRAM_BYTES)
         while (!socket.isClosed) {
@@ -58,6 +60,8 @@
                 log.warn("cannot decode message from peer", "detail" to e.message)
             } catch (e: IOException) {
                 log.warn("cannot receive message from peer", "detail" to e.message)
+            } catch (e: RuntimeException) {
+                log.warn("cannot handle message from peer", "detail" to e.toString())
             }
         }
     }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/PrefixWatcher.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/PrefixWatcher.kt
@@ -43,7 +43,7 @@
         previousEntries: List<StoreEntry>,
         firstRevision: Long?,
     ) {
-        send(StoreCall.ReadPrefix(prefix, afterKey)) { result ->
+        sendGuarded(StoreCall.ReadPrefix(prefix, afterKey)) { result ->
             result.fold({ onFailed(it) { readPage(afterKey, previousEntries, firstRevision) } }) { reply ->
                 val page = reply as StoreReply.Entries
                 val entries = previousEntries + page.entries
@@ -72,7 +72,7 @@
         val afterRevision = revision ?: return readSnapshot()
         // The store may never respond to a call that is sent during an outage; a long wait would then delay recovery after the outage.
         val waitMs = if (failures > 0) min(watchWaitMs, PROBE_WATCH_WAIT_MS) else watchWaitMs
-        send(StoreCall.Watch(prefix, afterRevision, waitMs)) { result ->
+        sendGuarded(StoreCall.Watch(prefix, afterRevision, waitMs)) { result ->
             result.fold({ error ->
                 if (error is StoreError.HistoryGone) {
                     revision = null
@@ -94,6 +94,20 @@
         }
     }
 
+    /** Sends [call]. If handling the result fails unexpectedly, a new snapshot is read later: the watch must not end silently. */
+    @Suppress("TooGenericExceptionCaught")
+    private fun sendGuarded(
+        call: StoreCall,
+        onResult: (Either<StoreError, StoreReply>) -> Unit,
+    ) = send(call) { result ->
+        try {
+            onResult(result)
+        } catch (e: RuntimeException) {
+            revision = null
+            onFailed(StoreError.Unknown("handling the reply failed: $e")) { readSnapshot() }
+        }
+    }
+
     private fun onFailed(
         error: StoreError,
         retry: () -> Unit,
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/http/EventLoopHttpClientTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/http/EventLoopHttpClientTest.kt
@@ -22,7 +22,12 @@
     private val xnioWorker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1))
     private val loop = xnioWorker.ioThread
     private val client =
-        EventLoopHttpClient(loop, DefaultByteBufferPool(false, BUFFER_BYTES), MonotonicClock.system, maxResponseBytes = 100_000)
+        EventLoopHttpClient(
+            loop,
+            DefaultByteBufferPool(false, BUFFER_BYTES),
+            MonotonicClock.system,
+            ResponseBuffers(maxResponseBytes = 100_000),
+        )
     private val okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
     @AfterTest
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/PrefixWatcherTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/PrefixWatcherTest.kt
@@ -23,6 +23,7 @@
     private val pendingCalls = ArrayDeque<PendingCall>()
     private val scheduledTasks = ArrayDeque<Pair<Long, () -> Unit>>()
     private val events = ArrayList<String>()
+    private var failsOnChanges = false
     private val watcher =
         PrefixWatcher(
             prefix = "p/",
@@ -39,6 +40,7 @@
                     }
 
                     override fun onChanges(changes: List<StoreChange>) {
+                        check(!failsOnChanges) { "handling changes fails" }
                         events += "changes ${changes.map { it.key }}"
                     }
 
@@ -101,6 +103,20 @@
         assertEquals(30, assertIs<StoreCall.Watch>(pendingCalls.first().call).afterRevision)
     }
 
+    @Test
+    fun `a watcher reads a new snapshot and watches on when handling a change fails`() {
+        watcher.start()
+        reply(StoreReply.Entries(emptyList(), 7))
+        failsOnChanges = true
+        reply(StoreReply.Changes(listOf(StoreChange("p/a", "v", 9)), 9))
+        scheduledTasks.removeFirst().second()
+        assertIs<StoreCall.ReadPrefix>(pendingCalls.first().call)
+        failsOnChanges = false
+        reply(StoreReply.Entries(listOf(entry("p/a", 9)), 9))
+        assertEquals("snapshot [p/a] at 9", events.last())
+        assertEquals(9, assertIs<StoreCall.Watch>(pendingCalls.first().call).afterRevision)
+    }
+
     @Test
     fun `failed calls are retried with bounded backoff`() {
         watcher.start()
--- a/kumquatmill-settings/src/main/kotlin/io/kumquatmill/settings/section/Addresses.kt
+++ b/kumquatmill-settings/src/main/kotlin/io/kumquatmill/settings/section/Addresses.kt
@@ -18,5 +18,6 @@
 
 private fun isIpv4(text: String): Boolean {
     val octets = text.split('.')
-    return octets.size == OCTET_COUNT && octets.all { it.isNotEmpty() && it.all(Char::isDigit) && it.toInt() <= MAX_OCTET }
+    return octets.size == OCTET_COUNT &&
+        octets.all { it.isNotEmpty() && it.all(Char::isDigit) && (it.toIntOrNull() ?: Int.MAX_VALUE) <= MAX_OCTET }
 }
