Make the tests of the peer transport independent of the machine's load

Cause of the three entries in KNOWN-RED.txt: two tests used a silence timeout of 300 ms although they are not about silence, and lost messages when the machine was busy; one sent its message when the timeout was counted, just before the connection was closed, where it may be lost. "Address already in use" after close: the port is free only when the selector's thread has released its channels, which close did not wait for; it does now.

--- a/kumquatmill-wire/src/main/kotlin/io/kumquatmill/wire/PeerTransport.kt
+++ b/kumquatmill-wire/src/main/kotlin/io/kumquatmill/wire/PeerTransport.kt
@@ -19,6 +19,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ExecutorService
 import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 
 private val logger = KotlinLogging.logger {}
@@ -40,8 +41,8 @@
     val counters = PeerTransportCounters()
 
     private val transportThread = singleThread("peer-transport").asCoroutineDispatcher()
-    private val ioThread = singleThread("peer-io").asCoroutineDispatcher()
-    private val selector = SelectorManager(ioThread)
+    private val ioExecutor = singleThread("peer-io")
+    private val selector = SelectorManager(ioExecutor.asCoroutineDispatcher())
     private val exceptionHandler = CoroutineExceptionHandler { _, e -> if (!isClosed) logger.error(e) { "peer transport task failed" } }
     private val scope = CoroutineScope(SupervisorJob() + transportThread + exceptionHandler)
     private val senders = ConcurrentHashMap<HostAddress, PeerSender>()
@@ -81,7 +82,9 @@
         }
         selector.close()
         transportThread.close()
-        ioThread.close()
+        // The port is free only when the selector has released its channels, which happens as its thread ends.
+        ioExecutor.shutdown()
+        ioExecutor.awaitTermination(CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS)
     }
 
     private fun startSender(address: HostAddress): PeerSender {
--- a/kumquatmill-wire/src/test/kotlin/io/kumquatmill/wire/PeerTransportTest.kt
+++ b/kumquatmill-wire/src/test/kotlin/io/kumquatmill/wire/PeerTransportTest.kt
@@ -13,6 +13,7 @@
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.net.SocketTimeoutException
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import kotlin.test.AfterTest
@@ -28,34 +29,35 @@
     private val fastSettings =
         PeerTransportSettings(heartbeatIntervalMs = 50, silenceTimeoutMs = 300, minReconnectDelayMs = 10, maxReconnectDelayMs = 50)
 
+    /** Connections are never given up for silence, whatever else the machine does. */
+    private val steadySettings = fastSettings.copy(silenceTimeoutMs = 60_000)
+
     @AfterTest
     fun closeResources() = resources.forEach { it.close() }
 
     @Test
-    fun `messages arrive in order over one connection`() =
-        passOverKnownRed("messages arrive in order over one connection") {
-            startReceiver()
-            val sender = startSender()
+    fun `messages arrive in order over one connection`() {
+        startReceiver(steadySettings)
+        val sender = startSender(steadySettings)
 
-            (1L..50L).forEach { sender.send(receiverAddress, envelope(it)) }
+        (1L..50L).forEach { sender.send(receiverAddress, envelope(it)) }
 
-            assertEquals((1L..50L).toList(), List(50) { awaitEpoch() })
-            assertEquals(1, sender.counters.openedConnections)
-        }
+        assertEquals((1L..50L).toList(), List(50) { awaitEpoch() })
+        assertEquals(1, sender.counters.openedConnections)
+    }
 
     @Test
-    fun `messages reach a peer again after it restarts`() =
-        passOverKnownRed("messages reach a peer again after it restarts") {
-            val first = startReceiver()
-            val sender = startSender()
-            sender.send(receiverAddress, envelope(1))
-            assertEquals(1, awaitEpoch())
+    fun `messages reach a peer again after it restarts`() {
+        val first = startReceiver()
+        val sender = startSender()
+        assertTrue(eventually { sender.send(receiverAddress, envelope(1)).let { received.isNotEmpty() } }, "no message arrived")
 
-            first.close()
-            startReceiver()
+        first.close()
+        received.clear()
+        startReceiver()
 
-            assertTrue(eventually { sender.send(receiverAddress, envelope(2)).let { received.isNotEmpty() } })
-        }
+        assertTrue(eventually { sender.send(receiverAddress, envelope(2)).let { received.isNotEmpty() } }, "no message arrived again")
+    }
 
     @Test
     fun `a full queue drops the oldest messages and never blocks`() {
@@ -70,8 +72,8 @@
 
     @Test
     fun `a malformed frame closes only its own connection`() {
-        val receiver = startReceiver()
-        val sender = startSender()
+        val receiver = startReceiver(steadySettings)
+        val sender = startSender(steadySettings)
         sender.send(receiverAddress, envelope(1))
         assertEquals(1, awaitEpoch())
 
@@ -95,31 +97,36 @@
     }
 
     @Test
-    fun `a connection without heartbeat replies is replaced by a new one`() =
-        passOverKnownRed("a connection without heartbeat replies is replaced by a new one") {
-            val silentServer =
-                ServerSocket(
-                    receiverAddress.port,
-                    BACKLOG,
-                    InetAddress.getByName(receiverAddress.ip),
-                ).also { resources += it }
-            silentServer.soTimeout = TIMEOUT_MS
-            val sender = startSender()
-            sender.send(receiverAddress, envelope(1))
-            silentServer.accept().also { resources += it }
-
-            val isDetected = eventually { sender.counters.timedOutConnections == 1L }
-            sender.send(receiverAddress, envelope(2))
-            silentServer.accept().also { resources += it }
-
-            assertTrue(isDetected, "${sender.counters.timedOutConnections} connections timed out, 1 expected")
-            assertTrue(
-                eventually { sender.counters.openedConnections == 2L },
-                "${sender.counters.openedConnections} connections opened, 2 expected",
-            )
+    fun `a connection without heartbeat replies is replaced by a new one`() {
+        val silentServer = ServerSocket(receiverAddress.port, BACKLOG, InetAddress.getByName(receiverAddress.ip)).also { resources += it }
+        silentServer.soTimeout = CHECK_INTERVAL_MS.toInt()
+        val sender = startSender()
+
+        // A message that is written just before its connection is closed is lost, so messages are sent until a connection comes.
+        assertTrue(eventually { isConnectionOpened(sender, silentServer) }, "no connection was opened")
+        assertTrue(eventually { sender.counters.timedOutConnections >= 1L }, "the silent connection did not time out")
+        assertTrue(eventually { isConnectionOpened(sender, silentServer) }, "no second connection was opened")
+        assertTrue(
+            eventually { sender.counters.openedConnections >= 2L },
+            "${sender.counters.openedConnections} connections opened, 2 expected",
+        )
+    }
+
+    private fun isConnectionOpened(
+        sender: PeerTransport,
+        server: ServerSocket,
+    ): Boolean {
+        sender.send(receiverAddress, envelope(1))
+        return try {
+            resources += server.accept()
+            true
+        } catch (_: SocketTimeoutException) {
+            false
         }
+    }
 
-    private fun startReceiver(): PeerTransport = startTracked(PeerTransport(receiverAddress, fastSettings) { received += it })
+    private fun startReceiver(settings: PeerTransportSettings = fastSettings): PeerTransport =
+        startTracked(PeerTransport(receiverAddress, settings) { received += it })
 
     private fun startSender(settings: PeerTransportSettings = fastSettings): PeerTransport =
         startTracked(PeerTransport(senderAddress, settings) { })
