Collect changes of the store for longer in large fleets

Ruled out: longer waits of idle watches (a dead connection would be found later, and there are few of them: 14 a host and minute).

Change: the time for which changes are collected grows with the fleet, 0.3 s up to 20 hosts, 0.56 s at 37, 0.75 s at most; operators allow 3 s and more there. The time after which a host counts as lagging behind its peers follows. Small fleets are as before.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
@@ -83,7 +83,9 @@
     private val cache = StateCache(adapter.stateKeys, adapter.stateDecoder)
     private val stateUpdater = StateUpdater(cache, controller, clock, log) { openCallerListener() }
     private val watchers =
-        adapter.stateKeys.watchedPrefixes.map { PrefixWatcher(it, sendStoreCall, ::runAfter, stateUpdater, random) }
+        adapter.stateKeys.watchedPrefixes.map {
+            PrefixWatcher(it, sendStoreCall, ::runAfter, stateUpdater, random, batchDelayMs = controller::changeBatchMs)
+        }
     private val registration =
         HostRegistration(
             key = adapter.stateKeys.hostPrefix + settings.self.host,
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
@@ -39,7 +39,7 @@
 ) {
     private val incarnation = System.currentTimeMillis()
     private var sequence = 0L
-    private val lag = RevisionLag(CATCH_UP_DELAY_MS)
+    private val lag = RevisionLag { controller.changeBatchMs() + CHANGE_LATENCY_MS }
     private val incarnationByPeer = HashMap<String, Long>()
     private var isFetching = false
     private var nextSeedIndex = 0
@@ -174,8 +174,8 @@
         /** Path at which a host serves its store entries to peers. */
         const val STATE_PATH = "/peer/state"
 
-        /** The store delivers a change within a few tens of milliseconds; if a host lags longer, the store may be rejecting its calls. */
-        private const val CATCH_UP_DELAY_MS = 400L
+        /** Time in which the store delivers a change. Hosts that lag for longer than this and a batch may be rejected by the store. */
+        private const val CHANGE_LATENCY_MS = 100L
         private const val FETCH_TIMEOUT_MS = 700L
         private const val OK = 200
         private val json = Json { ignoreUnknownKeys = true }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/RevisionLag.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/RevisionLag.kt
@@ -4,10 +4,12 @@
  * Detects that this host no longer receives changes that its peers have.
  *
  * Changes reach the hosts at slightly different times, so that some peer is ahead most of the time while many changes are made. A host
- * lags only if it still lacks a revision [afterMs] milliseconds after a peer was first seen to have it.
+ * lags only if it still lacks a revision some time after a peer was first seen to have it.
+ *
+ * @param afterMs returns that time in milliseconds
  */
 internal class RevisionLag(
-    private val afterMs: Long,
+    private val afterMs: () -> Long,
 ) {
     private var missingRevision = 0L
     private var missingSinceMs = 0L
@@ -22,6 +24,6 @@
             missingRevision = newestRevision
             missingSinceMs = nowMs
         }
-        return ownRevision < missingRevision && nowMs - missingSinceMs >= afterMs
+        return ownRevision < missingRevision && nowMs - missingSinceMs >= afterMs()
     }
 }
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/RevisionLagTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/RevisionLagTest.kt
@@ -4,7 +4,7 @@
 import kotlin.test.assertEquals
 
 class RevisionLagTest {
-    private val lag = RevisionLag(afterMs = 400)
+    private val lag = RevisionLag { 400 }
 
     @Test
     fun `a host that follows many changes closely never lags although some peer is always ahead`() {
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
@@ -93,6 +93,9 @@
         report: PeerReport,
     ): Boolean = fleet.onReport(nowMs, report)
 
+    /** Returns the time in milliseconds for which changes of the store are collected before they are applied. */
+    fun changeBatchMs(): Long = fleet.changeBatchMs()
+
     /** Returns the peers to which this host sends its reports. */
     fun peers(): List<EntryHostInfo> = fleet.peers()
 
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/FleetSettings.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/FleetSettings.kt
@@ -7,6 +7,10 @@
     /** Time between two reports in a larger fleet, in which each host sends and receives more of them. */
     val largeFleetReportIntervalMs: Long = 1_000,
     val smallFleetMaxHosts: Int = 20,
+    /** Time for which a small fleet collects changes of the store; it grows with the fleet, as each call of each host is charged for. */
+    val changeBatchMs: Long = 300,
+    /** A quarter of the time that operators allow a large fleet for a change. */
+    val maxChangeBatchMs: Long = 750,
     /** A report is fresh for this many report intervals, so that two of three reports may be lost or late. */
     val freshIntervals: Double = 2.5,
     /** A host that is silent for more than this many report intervals is no longer offered to callers. */
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/FleetView.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/FleetView.kt
@@ -117,6 +117,10 @@
     fun reportIntervalMs(): Long =
         if (size() <= settings.smallFleetMaxHosts) settings.reportIntervalMs else settings.largeFleetReportIntervalMs
 
+    /** Returns the time in milliseconds for which changes of the store are collected before they are applied. */
+    fun changeBatchMs(): Long =
+        (settings.changeBatchMs * size() / settings.smallFleetMaxHosts).coerceIn(settings.changeBatchMs, settings.maxChangeBatchMs)
+
     /** Returns the live, serving hosts of [region], or of all regions if it has none; [isServing] states whether this host serves. */
     fun servingHosts(
         nowMs: Long,
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/fleet/FleetViewTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/fleet/FleetViewTest.kt
@@ -36,6 +36,15 @@
         assertEquals(setOf("h1"), servingNames(10))
     }
 
+    @Test
+    fun `a large fleet collects changes of the store for longer, up to a bound`() {
+        assertEquals(300, fleet.changeBatchMs())
+        fleet.updateHosts(0, (1..40).map { host("h$it") })
+        assertEquals(600, fleet.changeBatchMs())
+        fleet.updateHosts(0, (1..450).map { host("h$it") })
+        assertEquals(750, fleet.changeBatchMs())
+    }
+
     @Test
     fun `callers of a region without hosts get those of other regions`() {
         fleet.onReport(0, report(host("h2", "west-a")))
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/ratelimit/WorkspaceRateLimiterTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/ratelimit/WorkspaceRateLimiterTest.kt
@@ -130,6 +130,41 @@
         assertTrue(granted >= 15, "expected 15 requests or more within 100 ms of the first one, found $granted")
     }
 
+    /** Takes tokens of [host] at [nowMs] until one is not granted; returns that decision. */
+    private fun drain(
+        host: Host,
+        nowMs: Long,
+        maxWaitMs: Long,
+    ): RateLimitDecision = generateSequence { host.rateLimiter.take(nowMs, alpha, maxWaitMs) }.first { it !is RateLimitDecision.Granted }
+
+    @Test
+    fun `a request waits for the next token only while its workspace keeps to its rate`() {
+        val hosts = fleetOf(7)
+        run(hosts, 12) { 5.0 }
+        drain(hosts[0], 12_000, maxWaitMs = 200)
+        assertEquals(RateLimitDecision.Pending(100), hosts[0].rateLimiter.takeAfterWait(12_000, alpha, waits = 1, maxWaitMs = 100))
+        assertEquals(RateLimitDecision.Granted, hosts[0].rateLimiter.takeAfterWait(12_200, alpha, waits = 2, maxWaitMs = 0))
+        run(hosts, 6, fromMs = 12_200) { 200.0 }
+        val farAboveRate = drain(hosts[0], 18_200, maxWaitMs = 200)
+        assertTrue(farAboveRate is RateLimitDecision.Refused, "expected a refusal far above the rate, found $farAboveRate")
+    }
+
+    @Test
+    fun `a request is refused when its wait is over`() {
+        val hosts = fleetOf(7)
+        run(hosts, 12) { 5.0 }
+        drain(hosts[0], 12_000, maxWaitMs = 0)
+        val decision = hosts[0].rateLimiter.takeAfterWait(12_000, alpha, waits = 1, maxWaitMs = 0)
+        assertTrue(decision is RateLimitDecision.Refused, "expected a refusal, found $decision")
+    }
+
+    @Test
+    fun `a request waits at a host that has just started and does not know its peers yet`() {
+        val host = Host(host("h1"), 0, ratePerS = 2.0)
+        assertEquals(RateLimitDecision.Pending(100), drain(host, 500, maxWaitMs = 300))
+        assertTrue(drain(host, 4_000, maxWaitMs = 300) is RateLimitDecision.Pending, "expected a wait while the demand is below the rate")
+    }
+
     @Test
     fun `the token of a request that was not executed is refunded`() {
         val host = Host(host("h1"), 0, 10.0)
