Report the demand of pooled workspaces to their pool hosts only

Cause: with compact reports, nearly all of a report in a fleet of 37 hosts is the demand of workspaces whose tokens are pooled, which only their pool hosts use to divide the rate among the regions. Shares, which keep the promise, still go to all hosts. Other hosts hear with each loan, or its denial, how far the demand of all hosts is above the rate.

TokenPoolSimulationTest and RateLimitSimulationTest run with reports of this form.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
@@ -14,6 +14,7 @@
 import io.kumquatmill.gateway.store.RunAfter
 import io.kumquatmill.gateway.store.StateCache
 import io.kumquatmill.traffic.control.TrafficController
+import io.kumquatmill.traffic.fleet.EntryHostInfo
 import io.kumquatmill.traffic.fleet.PeerReport
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -55,9 +56,24 @@
     }
 
     /** Sends the state of this host to all known peers, or to the configured seeds while no peer is known. */
-    fun sendReport() = sendReport(controller.peers().map { it.ip }.ifEmpty { settings.seeds.map { it.ip } })
+    fun sendReport() {
+        val peers = controller.peers()
+        val report = createReport()
+        if (peers.isEmpty()) return send(report, settings.seeds.map { it.ip })
+        peers.forEach { sendReport(report, it) }
+    }
+
+    private fun sendReport(
+        report: PeerReport,
+        peer: EntryHostInfo,
+    ) = send(report.copy(demandPerS = controller.demandFor(peer, report.demandPerS)), listOf(peer.ip))
+
+    private fun send(
+        report: PeerReport,
+        ips: List<String>,
+    ) = socket.send(PeerMessage(report = report), ips.filterNot { it == settings.self.ip })
 
-    private fun sendReport(ips: List<String>) {
+    private fun createReport(): PeerReport {
         val self = settings.self
         val nowMs = clock.nowMs()
         val report =
@@ -75,7 +91,7 @@
                 stalePeers = controller.stalePeers(nowMs),
             )
         logContactChange(report.stalePeers, controller.isIsolated(nowMs))
-        socket.send(PeerMessage(report = report), ips.filterNot { it == self.ip })
+        return report
     }
 
     private fun logContactChange(
@@ -111,7 +127,7 @@
     ) {
         val isApplied = controller.onReport(nowMs, report)
         if (!isApplied || incarnationByPeer.put(report.host, report.incarnation) == report.incarnation) return
-        sendReport(listOf(report.ip))
+        sendReport(createReport(), EntryHostInfo(report.host, report.ip, report.region, report.availabilityZone))
     }
 
     /** Fetches the entries of a peer when this host lags behind it, or of a seed when it is not ready and the store is unavailable. */
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
@@ -112,6 +112,12 @@
     /** Returns this host's demand by workspace, in requests per second, to be reported to peers. */
     fun demandPerS(nowMs: Long): Map<WorkspaceTag, Double> = rateLimiter.demandPerS(nowMs)
 
+    /** Returns the part of [demandPerS] that is reported to [peer]. */
+    fun demandFor(
+        peer: EntryHostInfo,
+        demandPerS: Map<WorkspaceTag, Double>,
+    ): Map<WorkspaceTag, Double> = rateLimiter.demandFor(peer, demandPerS)
+
     /** Returns this host's shares of the workspaces' rate limits in thousandths, to be reported to peers. */
     fun sharesPerMille(): Map<WorkspaceTag, Int> = rateLimiter.sharesPerMille()
 
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/WorkspaceRateLimiter.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/WorkspaceRateLimiter.kt
@@ -41,6 +41,11 @@
         val borrowed = BorrowedTokens(settings)
         var updatedAtMs = Long.MIN_VALUE
         var hasHadShare = false
+        var isPoolHost = false
+
+        /** Demand at all hosts as a fraction of the rate, as last heard from a pool host. */
+        var heardLoadFactor = 0.0
+        var heardLoadFactorAtMs = Long.MIN_VALUE / 2
     }
 
     private val limits = HashMap<WorkspaceId, WorkspaceLimit>()
@@ -140,8 +145,9 @@
         limit.bucket.refill(nowMs)
         val spare = limit.bucket.level - if (isPooled(limit)) 0.0 else reserve(nowMs, limit)
         val tokens = floor(min(request.tokens, spare))
-        if (tokens < 1) return if (isPooled(limit)) LoanGrant(request.lender, request.workspace, 0.0, request.number) else null
-        return LoanGrant(request.lender, request.workspace, limit.bucket.withdraw(nowMs, tokens), request.number)
+        if (tokens < 1 && !isPooled(limit)) return null
+        val lent = if (tokens < 1) 0.0 else limit.bucket.withdraw(nowMs, tokens)
+        return LoanGrant(request.lender, request.workspace, lent, request.number, loadFactor(nowMs, limit))
     }
 
     /** Adds the tokens that a peer has lent. */
@@ -149,7 +155,10 @@
         nowMs: Long,
         grant: LoanGrant,
     ) {
-        limits[WorkspaceId(grant.workspace)]?.borrowed?.onGrant(nowMs, grant)
+        val limit = limits[WorkspaceId(grant.workspace)] ?: return
+        limit.borrowed.onGrant(nowMs, grant)
+        limit.heardLoadFactor = grant.loadFactor
+        limit.heardLoadFactorAtMs = nowMs
     }
 
     /** Returns the token of a request that was not executed. */
@@ -166,12 +175,29 @@
         return reportedLimits().associate { it.tag to it.share.reportedDemandPerS }.filterValues { it > 0 }
     }
 
+    /**
+     * Returns the part of [demandPerS] that is reported to [peer]. The demand of a workspace whose tokens are pooled concerns its pool
+     * hosts only; reports of a large fleet would otherwise consist of little else.
+     */
+    fun demandFor(
+        peer: EntryHostInfo,
+        demandPerS: Map<WorkspaceTag, Double>,
+    ): Map<WorkspaceTag, Double> {
+        val limitsByTag = reportedLimits().associateBy { it.tag }
+        return demandPerS.filterKeys { tag ->
+            val limit = limitsByTag[tag]
+            limit != null && (!isPooled(limit) || pools.of(limit.workspace.id).any { it.host == peer.host })
+        }
+    }
+
     /** Returns this host's shares in thousandths, to be reported to peers; idle shares of workspaces without demand are left out. */
     fun sharesPerMille(): Map<WorkspaceTag, Int> {
         val idleShare = settings.idleFraction / fleet.size()
         return reportedLimits()
-            .filter { it.share.reportedDemandPerS > 0 || it.share.value > idleShare }
-            .associate { it.tag to ceil(it.share.value * RateShare.PER_MILLE).toInt() }
+            .filter { limit ->
+                val isIdle = limit.share.reportedDemandPerS <= 0 && limit.share.value <= idleShare
+                if (isPooled(limit)) limit.share.value > 0 else !isIdle
+            }.associate { it.tag to ceil(it.share.value * RateShare.PER_MILLE).toInt() }
     }
 
     private fun reportedLimits(): List<WorkspaceLimit> = limits.values.filterNot { it.isTagAmbiguous }
@@ -196,12 +222,18 @@
     private fun isFarAboveRate(
         nowMs: Long,
         limit: WorkspaceLimit,
-    ): Boolean = totalDemandPerS(nowMs, limit) > limit.workspace.ratePerS * settings.noLoanDemandFactor
+    ): Boolean = loadFactor(nowMs, limit) > settings.noLoanDemandFactor
 
-    private fun totalDemandPerS(
+    /** Returns the demand at all hosts as a fraction of the rate. If tokens are pooled, only pool hosts know all of it. */
+    private fun loadFactor(
         nowMs: Long,
         limit: WorkspaceLimit,
-    ): Double = limit.demand.ratePerS(nowMs) + freshReports(nowMs).sumOf { it.demandPerS[limit.tag] ?: 0.0 }
+    ): Double {
+        val demandPerS = limit.demand.ratePerS(nowMs) + freshReports(nowMs).sumOf { it.demandPerS[limit.tag] ?: 0.0 }
+        val known = demandPerS / limit.workspace.ratePerS
+        val isHeardValid = isPooled(limit) && !limit.isPoolHost && nowMs - limit.heardLoadFactorAtMs <= settings.loanTtlMs
+        return if (isHeardValid) max(known, limit.heardLoadFactor) else known
+    }
 
     /** Returns whether the rate is too low to be divided among all hosts. */
     private fun isPooled(limit: WorkspaceLimit): Boolean =
@@ -240,7 +272,7 @@
         maxWaitMs: Long,
     ): RateLimitDecision {
         val isStarting = nowMs - (startedAtMs ?: nowMs) < settings.startingMs
-        val mayWait = maxWaitMs >= settings.tokenRetryMs && (isStarting || totalDemandPerS(nowMs, limit) <= limit.workspace.ratePerS)
+        val mayWait = maxWaitMs >= settings.tokenRetryMs && (isStarting || loadFactor(nowMs, limit) <= 1)
         return if (mayWait) RateLimitDecision.Pending(settings.tokenRetryMs) else refused(nowMs, limit)
     }
 
@@ -300,6 +332,7 @@
         val workspace = limit.workspace
         val isEvenShare = isIsolated || limit.isTagAmbiguous
         val poolDemand = if (isPooled(limit)) poolDemand(limit, reports) else null
+        limit.isPoolHost = poolDemand?.ownPerS != null
         limit.share.update(
             nowMs = nowMs,
             ratePerS = workspace.ratePerS,
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/ratelimit/RateLimitSimulationTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/ratelimit/RateLimitSimulationTest.kt
@@ -139,7 +139,9 @@
                     sharesPerMille = from.rateLimiter.sharesPerMille(),
                     stalePeers = from.fleet.stalePeers(nowMs),
                 )
-            hosts.filter { it !== from && it.isUp(nowMs) && isConnected(from, it) }.forEach { it.fleet.onReport(nowMs, report) }
+            hosts.filter { it !== from && it.isUp(nowMs) && isConnected(from, it) }.forEach { to ->
+                to.fleet.onReport(nowMs, report.copy(demandPerS = from.rateLimiter.demandFor(to.record, report.demandPerS)))
+            }
         }
 
         private fun injectFault(nowMs: Long) {
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/ratelimit/TokenPoolSimulationTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/ratelimit/TokenPoolSimulationTest.kt
@@ -79,15 +79,17 @@
 
         private fun sendReports(sequence: Long) =
             hosts.forEachIndexed { from, host ->
+                val demandPerS = host.demandPerS(nowMs)
                 val report =
                     report(
                         infos[from],
                         sequence = sequence,
-                        demandPerS = host.demandPerS(nowMs),
                         sharesPerMille = host.sharesPerMille(),
                         isServing = from != stoppedHost || nowMs < STOP_AT_MS,
                     )
-                fleets.forEachIndexed { to, fleet -> if (to != from) fleet.onReport(nowMs, report) }
+                fleets.forEachIndexed { to, fleet ->
+                    if (to != from) fleet.onReport(nowMs, report.copy(demandPerS = host.demandFor(infos[to], demandPerS)))
+                }
             }
 
         private fun call(host: WorkspaceRateLimiter) {
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/ratelimit/WorkspaceRateLimiterTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/ratelimit/WorkspaceRateLimiterTest.kt
@@ -165,6 +165,25 @@
         assertTrue(drain(host, 4_000, maxWaitMs = 300) is RateLimitDecision.Pending, "expected a wait while the demand is below the rate")
     }
 
+    @Test
+    fun `the demand of a pooled workspace is reported to its pool hosts only`() {
+        val hosts = (1..20).map { Host(host("h$it", if (it % 2 == 0) "east-a" else "west-a"), 0, ratePerS = 10.0) }
+        run(hosts, 4) { 1.0 }
+        val demandPerS = hosts[0].rateLimiter.demandPerS(4_000)
+        val informed = hosts.drop(1).filter { hosts[0].rateLimiter.demandFor(it.record, demandPerS).isNotEmpty() }
+        val withShare = hosts.filter { it.rateLimiter.sharesPerMille().isNotEmpty() }
+        assertEquals(2, withShare.size)
+        assertEquals(withShare - hosts[0], informed)
+    }
+
+    @Test
+    fun `the demand of a workspace that is not pooled is reported to all hosts`() {
+        val hosts = fleetOf(7)
+        run(hosts, 4) { 5.0 }
+        val demandPerS = hosts[0].rateLimiter.demandPerS(4_000)
+        assertTrue(hosts.drop(1).all { hosts[0].rateLimiter.demandFor(it.record, demandPerS) == demandPerS })
+    }
+
     @Test
     fun `the token of a request that was not executed is refunded`() {
         val host = Host(host("h1"), 0, 10.0)
