Reject loans of a number of tokens that is not finite

Cause: found by reading. A datagram that asks for NaN tokens passed each comparison and left the lender's bucket at NaN, from which every request is granted: one malformed message would have ended a workspace's rate limit at that host. A grant of NaN did the same to the borrower.

Change: loan requests and grants check their numbers, so that the codec calls such a datagram malformed. The test changes one number of encoded messages to NaN and both infinities; without the check the first of them is decoded (the test stops there).

--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/peer/PeerMessageCodecTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/peer/PeerMessageCodecTest.kt
@@ -63,6 +63,26 @@
         assertFailsWith<MalformedPeerMessageException> { PeerMessageCodec.decode(isNegative) }
     }
 
+    @Test
+    fun `a loan of a number of tokens that is not finite is malformed`() {
+        val one = byteArrayOf(0xFB.toByte(), 0x3F, 0xF0.toByte(), 0, 0, 0, 0, 0, 0)
+        val notFinite =
+            listOf(byteArrayOf(0x7F, 0xF8.toByte()), byteArrayOf(0x7F, 0xF0.toByte()), byteArrayOf(0xBF.toByte(), 0xF0.toByte()))
+        val messages =
+            listOf(
+                PeerMessage(loanRequest = LoanRequest("h1", "10.1.0.7", "h2", "alpha", 1.0, 9)),
+                PeerMessage(grant = LoanGrant("h2", "alpha", 1.0, 9)),
+            )
+        messages.map(PeerMessageCodec::encode).forEach { bytes ->
+            val at = indexOf(bytes, one)
+            assertTrue(at > 0, "expected one token in the encoded message")
+            notFinite.forEach { head ->
+                val changed = bytes.copyOf().also { head.copyInto(it, at + 1) }
+                assertFailsWith<MalformedPeerMessageException> { PeerMessageCodec.decode(changed) }
+            }
+        }
+    }
+
     @Test
     fun `any other datagram is malformed, whatever its bytes are`() {
         val random = Random(5)
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/LoanGrant.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/LoanGrant.kt
@@ -16,4 +16,8 @@
     @SerialName("t") val tokens: Double,
     @SerialName("n") val number: Long,
     @SerialName("f") val loadFactor: Double = 0.0,
-)
+) {
+    init {
+        require(tokens.isFinite() && tokens >= 0 && loadFactor.isFinite()) { "invalid grant of $tokens tokens, load factor $loadFactor" }
+    }
+}
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/LoanRequest.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/LoanRequest.kt
@@ -19,4 +19,8 @@
     @SerialName("w") val workspace: String,
     @SerialName("t") val tokens: Double,
     @SerialName("n") val number: Long,
-)
+) {
+    init {
+        require(tokens.isFinite() && tokens >= 0) { "invalid request for $tokens tokens" }
+    }
+}
