--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
@@ -127,7 +127,7 @@
     ) {
         val isApplied = controller.onReport(nowMs, report)
         if (!isApplied || incarnationByPeer.put(report.host, report.incarnation) == report.incarnation) return
-        sendReport(createReport(), EntryHostInfo(report.host, report.ip, report.region, report.availabilityZone))
+        sendReport(createReport(), report.sender)
     }
 
     /** Fetches the entries of a peer when this host lags behind it, or of a seed when it is not ready and the store is unavailable. */
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/PrefixWatcher.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/PrefixWatcher.kt
@@ -20,7 +20,8 @@
  * When the store has compacted its history, a new snapshot is read. Failed calls are retried with exponential backoff and jitter, so
  * that not all hosts call a recovering service at the same time.
  *
- * @param batchDelayMs returns the time in milliseconds for which changes are collected before the next watch
+ * @param batchDelayMs returns the time in milliseconds for which changes are collected before the next watch: they come in bursts, and
+ * each call is charged for
  */
 class PrefixWatcher(
     private val prefix: String,
@@ -28,8 +29,8 @@
     private val runAfter: RunAfter,
     private val listener: StoreListener,
     private val random: Random,
+    private val batchDelayMs: () -> Long,
     private val watchWaitMs: Long = WATCH_WAIT_MS,
-    private val batchDelayMs: () -> Long = { BATCH_DELAY_MS },
 ) {
     private var revision: Long? = null
     private var failures = 0
@@ -126,21 +127,15 @@
         failures = 0
     }
 
-    companion object {
-        /**
-         * Changes come in bursts and each call is charged for, so one call collects the changes of this time. It is a tenth of the delay
-         * that operators allow.
-         */
-        const val BATCH_DELAY_MS = 300L
-
+    private companion object {
         /** Bounds the time until a dead connection is detected. It is not shorter, because the platform charges for each watch call. */
-        private const val WATCH_WAIT_MS = 4_000L
+        const val WATCH_WAIT_MS = 4_000L
 
         /** Wait of a watch while the service is considered unavailable. */
-        private const val PROBE_WATCH_WAIT_MS = 200L
+        const val PROBE_WATCH_WAIT_MS = 200L
 
-        private const val INITIAL_BACKOFF_MS = 100L
-        private const val MAX_BACKOFF_MS = 800L
-        private const val MAX_BACKOFF_DOUBLINGS = 4
+        const val INITIAL_BACKOFF_MS = 100L
+        const val MAX_BACKOFF_MS = 800L
+        const val MAX_BACKOFF_DOUBLINGS = 4
     }
 }
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/PrefixWatcherTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/PrefixWatcherTest.kt
@@ -60,6 +60,7 @@
                     }
                 },
             random = Random(1),
+            batchDelayMs = { 300 },
         )
 
     private fun reply(reply: StoreReply) = pendingCalls.removeFirst().onResult(reply.right())
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/StoreSimulationTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/StoreSimulationTest.kt
@@ -59,7 +59,7 @@
         private var lastVersion = 0L
         val violations = ArrayList<String>()
         private val callTimesMs = ArrayList<Long>()
-        private val watcher = PrefixWatcher("", ::send, ::runAfter, this, Random(seed + 1))
+        private val watcher = PrefixWatcher("", ::send, ::runAfter, this, Random(seed + 1), batchDelayMs = { 300 })
 
         fun run(): List<String> {
             watcher.start()
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/FleetSettings.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/FleetSettings.kt
@@ -7,7 +7,10 @@
     /** Time between two reports in a larger fleet, in which each host sends and receives more of them. */
     val largeFleetReportIntervalMs: Long = 1_000,
     val smallFleetMaxHosts: Int = 20,
-    /** Time for which a small fleet collects changes of the store; it grows with the fleet, as each call of each host is charged for. */
+    /**
+     * Time for which a small fleet collects changes of the store, a tenth of the delay that operators allow; it grows with the fleet, as
+     * each call of each host is charged for.
+     */
     val changeBatchMs: Long = 300,
     /** A quarter of the time that operators allow a large fleet for a change. */
     val maxChangeBatchMs: Long = 750,
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/FleetView.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/FleetView.kt
@@ -60,7 +60,7 @@
     ): Boolean {
         startTimeMs(nowMs)
         if (report.host == self.host) return false
-        val record = EntryHostInfo(report.host, report.ip, report.region, report.availabilityZone)
+        val record = report.sender
         val peer = peers.getOrPut(report.host) { Peer(record, nowMs) }
         val last = peer.report
         val isOutdated =
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/PeerReport.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/PeerReport.kt
@@ -23,4 +23,8 @@
     val demandPerS: Map<WorkspaceTag, Double> = emptyMap(),
     val sharesPerMille: Map<WorkspaceTag, Int> = emptyMap(),
     val stalePeers: List<String> = emptyList(),
-)
+) {
+    /** Record of the host that sent this report. */
+    val sender: EntryHostInfo
+        get() = EntryHostInfo(host, ip, region, availabilityZone)
+}
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/WorkspaceRateLimiter.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/WorkspaceRateLimiter.kt
@@ -34,9 +34,6 @@
         val share: RateShare,
     ) {
         val tag = WorkspaceTag.of(workspace.id)
-
-        /** Whether reports can't tell this workspace from another one; each host then uses its even share without reporting it. */
-        var isTagAmbiguous = false
         val demand = DemandMeter()
         val borrowed = BorrowedTokens(settings)
         var updatedAtMs = Long.MIN_VALUE
@@ -49,6 +46,9 @@
     }
 
     private val limits = HashMap<WorkspaceId, WorkspaceLimit>()
+
+    /** Limits by tag, without those that share one: reports can't tell them apart, so each host uses its even share of them unreported. */
+    private var reportedLimits: Map<WorkspaceTag, WorkspaceLimit> = emptyMap()
     private var lastLoanRequestNumber = 0L
     private var pools = TokenPools(setOf(fleet.self), fleet.self)
     private var isLeaving = false
@@ -69,8 +69,11 @@
                 }
             limit.workspace = workspace
         }
-        val limitsByTag = limits.values.groupBy { it.tag }
-        limits.values.forEach { it.isTagAmbiguous = limitsByTag.getValue(it.tag).size > 1 }
+        reportedLimits =
+            limits.values
+                .groupBy { it.tag }
+                .filterValues { it.size == 1 }
+                .mapValues { (_, withTag) -> withTag.single() }
         rebalance(nowMs)
     }
 
@@ -79,7 +82,7 @@
         val peers = fleet.peerLiveness(nowMs)
         val isIsolated = fleet.isIsolated(nowMs)
         val reports = peers.filterIsInstance<PeerLiveness.Fresh>().map { it.report }
-        val servingHosts = reports.filter { it.isServing }.mapTo(HashSet()) { it.toHostInfo() }
+        val servingHosts = reports.filter { it.isServing }.mapTo(HashSet()) { it.sender }
         if (!isLeaving || servingHosts.isEmpty()) servingHosts += fleet.self
         if (servingHosts != pools.hosts) pools = TokenPools(servingHosts, fleet.self)
         limits.values.forEach { rebalance(nowMs, it, peers, reports, isIsolated) }
@@ -172,7 +175,7 @@
     /** Returns this host's demand by workspace, in requests per second, to be reported to peers; workspaces without any are left out. */
     fun demandPerS(nowMs: Long): Map<WorkspaceTag, Double> {
         limits.values.forEach { it.share.reportedDemandPerS = round(it.demand.ratePerS(nowMs) * TENTHS) / TENTHS }
-        return reportedLimits().associate { it.tag to it.share.reportedDemandPerS }.filterValues { it > 0 }
+        return reportedLimits.mapValues { (_, limit) -> limit.share.reportedDemandPerS }.filterValues { it > 0 }
     }
 
     /**
@@ -182,25 +185,23 @@
     fun demandFor(
         peer: EntryHostInfo,
         demandPerS: Map<WorkspaceTag, Double>,
-    ): Map<WorkspaceTag, Double> {
-        val limitsByTag = reportedLimits().associateBy { it.tag }
-        return demandPerS.filterKeys { tag ->
-            val limit = limitsByTag[tag]
+    ): Map<WorkspaceTag, Double> =
+        demandPerS.filterKeys { tag ->
+            val limit = reportedLimits[tag]
             limit != null && (!isPooled(limit) || pools.of(limit.workspace.id).any { it.host == peer.host })
         }
-    }
 
     /** Returns this host's shares in thousandths, to be reported to peers; idle shares of workspaces without demand are left out. */
     fun sharesPerMille(): Map<WorkspaceTag, Int> {
         val idleShare = settings.idleFraction / fleet.size()
-        return reportedLimits()
-            .filter { limit ->
+        return reportedLimits
+            .filterValues { limit ->
                 val isIdle = limit.share.reportedDemandPerS <= 0 && limit.share.value <= idleShare
                 if (isPooled(limit)) limit.share.value > 0 else !isIdle
-            }.associate { it.tag to ceil(it.share.value * RateShare.PER_MILLE).toInt() }
+            }.mapValues { (_, limit) -> ceil(limit.share.value * RateShare.PER_MILLE).toInt() }
     }
 
-    private fun reportedLimits(): List<WorkspaceLimit> = limits.values.filterNot { it.isTagAmbiguous }
+    private fun isReported(limit: WorkspaceLimit): Boolean = limit.tag in reportedLimits
 
     private fun tryTake(
         nowMs: Long,
@@ -237,7 +238,7 @@
 
     /** Returns whether the rate is too low to be divided among all hosts. */
     private fun isPooled(limit: WorkspaceLimit): Boolean =
-        !limit.isTagAmbiguous && limit.workspace.ratePerS < settings.pooledBelowPerHostPerS * fleet.size()
+        isReported(limit) && limit.workspace.ratePerS < settings.pooledBelowPerHostPerS * fleet.size()
 
     /**
      * Asks the pool hosts for a token, one after the other; [previousWaits] of them have not lent one. While the demand is far above the
@@ -330,7 +331,7 @@
         isIsolated: Boolean,
     ) {
         val workspace = limit.workspace
-        val isEvenShare = isIsolated || limit.isTagAmbiguous
+        val isEvenShare = isIsolated || !isReported(limit)
         val poolDemand = if (isPooled(limit)) poolDemand(limit, reports) else null
         limit.isPoolHost = poolDemand?.ownPerS != null
         limit.share.update(
@@ -383,8 +384,6 @@
         return PoolDemand(ownPerS = demandByHost[fleet.selfName], peerPerS = demandByHost - fleet.selfName)
     }
 
-    private fun PeerReport.toHostInfo() = EntryHostInfo(host, ip, region, availabilityZone)
-
     private companion object {
         /** Retry time for a bucket that is never refilled far enough. */
         const val NO_TOKENS_RETRY_AFTER_MS = 1_000L
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/ratelimit/LoanSimulationTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/ratelimit/LoanSimulationTest.kt
@@ -48,7 +48,9 @@
         private fun after(
             delayMs: Long,
             action: () -> Unit,
-        ) = events.add(nowMs + delayMs to action)
+        ) {
+            events.add(nowMs + delayMs to action)
+        }
 
         private fun sendLoanRequest(request: LoanRequest) {
             if (!hasLoans) return
@@ -78,20 +80,7 @@
             if (!isActive[caller] || random.nextDouble() >= requestsPerMs) return
             requests++
             val host = hosts[hostOfCaller[caller]]
-            onDecision(host, host.take(nowMs, alpha), waits = 0)
-        }
-
-        private fun onDecision(
-            host: WorkspaceRateLimiter,
-            decision: RateLimitDecision,
-            waits: Int,
-        ) {
-            when (decision) {
-                is RateLimitDecision.Granted -> return
-                is RateLimitDecision.Refused -> refused++
-                is RateLimitDecision.Pending ->
-                    after(decision.afterMs) { onDecision(host, host.takeAfterWait(nowMs, alpha, waits + 1), waits + 1) }
-            }
+            host.request(alpha, { nowMs }, ::after) { if (it is RateLimitDecision.Refused) refused++ }
         }
     }
 
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/ratelimit/RateLimitSimulationTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/ratelimit/RateLimitSimulationTest.kt
@@ -82,19 +82,18 @@
         ) {
             if (nowMs % REBALANCE_INTERVAL_MS == 0L) host.rateLimiter.rebalance(nowMs)
             val hasRequest = random.nextDouble() < host.offeredPerS / 1_000
-            if (hasRequest) onDecision(host, host.rateLimiter.take(nowMs, alpha), waits = 0)
+            if (!hasRequest) return
+            host.rateLimiter.request(alpha, { this.nowMs }, { delayMs, action -> afterIfUp(host, delayMs, action) }) { decision ->
+                if (decision is RateLimitDecision.Granted) grantedAtMs += this.nowMs
+            }
         }
 
-        private fun onDecision(
+        private fun afterIfUp(
             host: Host,
-            decision: RateLimitDecision,
-            waits: Int,
+            delayMs: Long,
+            action: () -> Unit,
         ) {
-            if (decision is RateLimitDecision.Granted) grantedAtMs += nowMs
-            if (decision !is RateLimitDecision.Pending) return
-            deliveries.getOrPut(nowMs + decision.afterMs) { ArrayList() } += {
-                if (host.isUp(nowMs)) onDecision(host, host.rateLimiter.takeAfterWait(nowMs, alpha, waits + 1), waits + 1)
-            }
+            deliveries.getOrPut(nowMs + delayMs) { ArrayList() } += { if (host.isUp(nowMs)) action() }
         }
 
         /** Returns whether messages can pass: a host may be partitioned from all hosts or from a single one. */
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/ratelimit/TokenPoolSimulationTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/ratelimit/TokenPoolSimulationTest.kt
@@ -52,7 +52,9 @@
         private fun after(
             delayMs: Long,
             action: () -> Unit,
-        ) = events.add(nowMs + delayMs to action)
+        ) {
+            events.add(nowMs + delayMs to action)
+        }
 
         private fun indexOf(name: String) = name.drop(1).toInt() - 1
 
@@ -94,20 +96,7 @@
 
         private fun call(host: WorkspaceRateLimiter) {
             requests++
-            onDecision(host, host.take(nowMs, alpha), waits = 0)
-        }
-
-        private fun onDecision(
-            host: WorkspaceRateLimiter,
-            decision: RateLimitDecision,
-            waits: Int,
-        ) {
-            when (decision) {
-                is RateLimitDecision.Granted -> grantedAtMs += nowMs
-                is RateLimitDecision.Refused -> refused++
-                is RateLimitDecision.Pending ->
-                    after(decision.afterMs) { onDecision(host, host.takeAfterWait(nowMs, alpha, waits + 1), waits + 1) }
-            }
+            host.request(alpha, { nowMs }, ::after) { if (it is RateLimitDecision.Granted) grantedAtMs += nowMs else refused++ }
         }
     }
 
