Log and count the rate limits that workers name in their responses

Hosts did not read the header, so that neither a log line nor a metric could tell whether a host knew of a limit and kept to it by itself, or knew nothing. No decision changes.

Line `ended` of logger `request` has `limitPerS`; counter kumquatmill_worker_limits_stated_total by kind (named, invalid). A limit is a decimal number of at most 64 characters; the lowest of several counts, a higher one than a million a second is capped, anything else (negative, not a number, overlong) is `invalid`. A response that cannot be trusted, or that says that the address belongs to another worker, states nothing.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
@@ -125,6 +125,7 @@
         val result = toAttemptResult(callResult)
         context.log.attemptEnded(id, sentRequest.workers.last(), result)
         context.metrics.countAttempt(result)
+        context.metrics.countStatedLimit(result.rateLimit)
         if (isCallerDisconnected) {
             controller.abandon(clock.nowMs(), sentRequest, isWorkerSlow = false)
             return finish(CLIENT_CLOSED_REQUEST, "caller-left") { }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/HttpHeaderNames.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/HttpHeaderNames.kt
@@ -9,6 +9,7 @@
  * @property workspace name of the workspace that owns the caller's key; set by the host for workers
  * @property expectedWorker id of the only worker that may execute the request
  * @property workerLoad load of the worker, sent with a response
+ * @property workerRateLimit requests per second that the worker takes from all hosts together, sent with a response
  * @property notExecuted marks the response of a worker that did not execute the request
  * @property workerProof proves that a worker generated the response
  */
@@ -19,6 +20,7 @@
     val workspace: String,
     val expectedWorker: String,
     val workerLoad: String,
+    val workerRateLimit: String,
     val notExecuted: String,
     val workerProof: String,
 )
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/ResponseClassification.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/ResponseClassification.kt
@@ -2,6 +2,7 @@
 
 import io.kumquatmill.gateway.http.CallResult
 import io.kumquatmill.traffic.control.AttemptResult
+import io.kumquatmill.traffic.control.StatedRateLimit
 import io.kumquatmill.traffic.control.WorkerLoad
 
 private const val MISDIRECTED_REQUEST = 421
@@ -23,12 +24,14 @@
         // On a connection that was in use before, a response without an id may be a late copy of an earlier one.
         echoedId == null && response.isConnectionReused -> AttemptResult.Unknown("the answer names no request")
         response.status == MISDIRECTED_REQUEST -> AttemptResult.Misdirected
-        response.header(headerNames.notExecuted) != null -> AttemptResult.Shed(parseWorkerLoad(response, headerNames))
+        response.header(headerNames.notExecuted) != null ->
+            AttemptResult.Shed(parseWorkerLoad(response, headerNames), parseRateLimit(response, headerNames))
         echoedId == null -> AttemptResult.Unknown("the answer names no request")
         response.header("Content-Encoding") != null -> AttemptResult.Unknown("the answer is encoded, which nobody asked for")
         response.status in successStatuses && response.header(headerNames.workerProof) == null ->
             AttemptResult.Unknown("the answer bears no proof of a worker")
-        else -> AttemptResult.Answered(response.status, parseWorkerLoad(response, headerNames))
+        else ->
+            AttemptResult.Answered(response.status, parseWorkerLoad(response, headerNames), parseRateLimit(response, headerNames))
     }
 }
 
@@ -41,4 +44,26 @@
     return if (fields.size == LOAD_FIELD_COUNT) WorkerLoad(fields[0], fields[1], fields[2]) else null
 }
 
+/** Returns the rate limit that [response] names; the lowest one if it names several, and at most [MAX_RATE_LIMIT_PER_S]. */
+private fun parseRateLimit(
+    response: CallResult.Response,
+    headerNames: HttpHeaderNames,
+): StatedRateLimit {
+    val values = response.headers.get(headerNames.workerRateLimit)
+    if (values.isNullOrEmpty()) return StatedRateLimit.None
+    val lowestPerS = values.mapNotNull(::parseDecimal).minOrNull() ?: return StatedRateLimit.Invalid
+    return StatedRateLimit.Named(minOf(lowestPerS, MAX_RATE_LIMIT_PER_S))
+}
+
+private fun parseDecimal(text: String): Double? =
+    text
+        .trim()
+        .takeIf { it.length <= MAX_NUMBER_LENGTH && decimalPattern.matches(it) }
+        ?.toDouble()
+
 private const val LOAD_FIELD_COUNT = 3
+
+/** No worker takes more, so a higher limit has no effect. */
+private const val MAX_RATE_LIMIT_PER_S = 1_000_000.0
+private const val MAX_NUMBER_LENGTH = 64
+private val decimalPattern = Regex("(?:[0-9]+(?:\\.[0-9]*)?|\\.[0-9]+)(?:[eE][+-]?[0-9]{1,3})?")
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/RequestLog.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/RequestLog.kt
@@ -5,10 +5,12 @@
 import io.kumquatmill.gateway.caller.LocalResponse
 import io.kumquatmill.traffic.control.AttemptResult
 import io.kumquatmill.traffic.control.RouteResolution
+import io.kumquatmill.traffic.control.StatedRateLimit
 import io.kumquatmill.traffic.control.TrafficRequest
 import io.kumquatmill.traffic.model.WorkerEntry
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
+import org.slf4j.spi.LoggingEventBuilder
 
 /** Logs each decision on a request together with the state that it was based on. */
 class RequestLog {
@@ -65,10 +67,11 @@
                 .addKeyValue("worker", worker)
                 .addKeyValue("result", result.resultName)
         when (result) {
-            is AttemptResult.Answered -> line.addKeyValue("status", result.status)
+            is AttemptResult.Answered -> line.addKeyValue("status", result.status).addLimit(result.rateLimit)
             is AttemptResult.Unreachable -> line.addKeyValue("detail", result.detail)
             is AttemptResult.Unknown -> line.addKeyValue("detail", result.detail)
-            is AttemptResult.Shed, is AttemptResult.Misdirected -> line
+            is AttemptResult.Shed -> line.addLimit(result.rateLimit)
+            is AttemptResult.Misdirected -> line
         }.log("ended")
     }
 
@@ -113,6 +116,13 @@
         .log("answered")
 }
 
+private fun LoggingEventBuilder.addLimit(stated: StatedRateLimit): LoggingEventBuilder =
+    when (stated) {
+        is StatedRateLimit.None -> this
+        is StatedRateLimit.Named -> addKeyValue("limitPerS", stated.perS)
+        is StatedRateLimit.Invalid -> addKeyValue("limitPerS", "invalid")
+    }
+
 /** Name of the result type in logs and metrics. */
 internal val AttemptResult.resultName: String
     get() =
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
@@ -2,6 +2,7 @@
 
 import io.kumquatmill.gateway.log.resultName
 import io.kumquatmill.traffic.control.AttemptResult
+import io.kumquatmill.traffic.control.StatedRateLimit
 import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
@@ -31,6 +32,17 @@
     fun countAttempt(result: AttemptResult) =
         attempts.getOrPut(result.resultName) { registry.counter("kumquatmill.attempts", "result", result.resultName) }.increment()
 
+    /** Counts a response that names the rate that its worker takes, or a limit that cannot be read. */
+    fun countStatedLimit(stated: StatedRateLimit) {
+        val kind =
+            when (stated) {
+                is StatedRateLimit.None -> return
+                is StatedRateLimit.Named -> "named"
+                is StatedRateLimit.Invalid -> "invalid"
+            }
+        registry.counter("kumquatmill.worker.limits.stated", "kind", kind).increment()
+    }
+
     /** Counts a store call that ended with [outcome]. */
     fun countStoreCall(outcome: String) = registry.counter("kumquatmill.store.calls", "outcome", outcome).increment()
 
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/caller/ResponseClassificationTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/caller/ResponseClassificationTest.kt
@@ -2,6 +2,7 @@
 
 import io.kumquatmill.gateway.http.CallResult
 import io.kumquatmill.traffic.control.AttemptResult
+import io.kumquatmill.traffic.control.StatedRateLimit
 import io.undertow.util.HeaderMap
 import io.undertow.util.HttpString
 import kotlin.test.Test
@@ -10,7 +11,7 @@
 
 /** Responses of workers that may belong to another request, such as late copies of earlier responses on a connection in use again. */
 class ResponseClassificationTest {
-    private val names = HttpHeaderNames("id", "deadline", "affinity", "workspace", "expected", "load", "not-run", "proof")
+    private val names = HttpHeaderNames("id", "deadline", "affinity", "workspace", "expected", "load", "limit", "not-run", "proof")
 
     private fun classify(
         status: Int,
@@ -52,4 +53,37 @@
             assertIs<AttemptResult.Unknown>(classify(200, mapOf("proof" to "p"), isReused))
         }
     }
+
+    private fun statedLimit(vararg values: String): StatedRateLimit {
+        val headers = HeaderMap().put(HttpString("id"), "r-1").put(HttpString("proof"), "p")
+        values.forEach { headers.add(HttpString("limit"), it) }
+        return classifyResponse(CallResult.Response(200, headers, ByteArray(0)), "r-1", names).rateLimit
+    }
+
+    @Test
+    fun `a rate limit is a decimal number of requests per second, the lowest of several`() {
+        assertEquals(StatedRateLimit.None, statedLimit())
+        mapOf("5.1" to 5.1, "0" to 0.0, " 12 " to 12.0, ".5" to 0.5, "3." to 3.0, "1e-3" to 0.001).forEach { (text, perS) ->
+            assertEquals(StatedRateLimit.Named(perS), statedLimit(text), "for '$text'")
+        }
+        assertEquals(StatedRateLimit.Named(2.0), statedLimit("7", "2", "many"))
+    }
+
+    @Test
+    fun `a rate limit beyond any worker is capped`() {
+        listOf("99999999999999999999", "1e999", "1000000.5").forEach { assertEquals(StatedRateLimit.Named(1_000_000.0), statedLimit(it)) }
+    }
+
+    @Test
+    fun `a malformed, negative or overlong rate limit is invalid`() {
+        val invalid = listOf("", "-3", "+3", "NaN", "Infinity", "0x10", "5d", "5,1", "5 per s", "1e9999", ".", "1".repeat(60_000) + "x")
+        invalid.forEach { assertEquals(StatedRateLimit.Invalid, statedLimit(it), "for '${it.take(20)}'") }
+    }
+
+    @Test
+    fun `a response that cannot be trusted states no rate limit`() {
+        val headers = mapOf("id" to "r-0", "proof" to "p", "limit" to "1")
+        assertEquals(StatedRateLimit.None, classify(200, headers, isConnectionReused = true).rateLimit)
+        assertEquals(StatedRateLimit.None, classify(421, headers + ("id" to "r-1"), isConnectionReused = false).rateLimit)
+    }
 }
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/AttemptResult.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/AttemptResult.kt
@@ -2,10 +2,18 @@
 
 /** How one attempt to send a request to a worker ended, as observed on its connection. */
 sealed interface AttemptResult {
-    /** The worker sent a complete response with [status]; [load] is null if the response does not report the worker's load. */
+    /** What the worker's response states about the rate that it takes; only a response that can be trusted states anything. */
+    val rateLimit: StatedRateLimit
+        get() = StatedRateLimit.None
+
+    /**
+     * The worker sent a complete response with [status]; [load] is null if the response does not report the worker's load, and [rateLimit]
+     * is what it states about the rate that the worker takes.
+     */
     data class Answered(
         val status: Int,
         val load: WorkerLoad?,
+        override val rateLimit: StatedRateLimit = StatedRateLimit.None,
     ) : AttemptResult
 
     /** The worker could not be reached, and no byte of the request was sent; [detail] states the cause for the logs. */
@@ -16,6 +24,7 @@
     /** The worker shed the request: it has not executed it and never will. [load] is null if it did not report its load. */
     data class Shed(
         val load: WorkerLoad?,
+        override val rateLimit: StatedRateLimit = StatedRateLimit.None,
     ) : AttemptResult
 
     /** The address belongs to another worker, which has not executed the request. */
