Keep to the rate that a worker in need takes from all hosts together

Callers noticed nothing.

Cause: hosts did not read the limit. Ruled out as the cause: hosts keep to it one by one (arrivals did not fall at all), hosts lose it again (likewise). Class of fault: a capacity that all hosts share was known to none; the design would have failed next at the sum over hosts, so the fix is not only to read the header.

Change: WorkerLimits. A host tells its peers what workers told it, with its age, in its reports. The hosts of the worker's region, chosen by rendezvous hashing if the limit is low, have fixed parts of it and a token bucket each; no message is needed for a decision. A response lifts a limit only if its request was sent after the limit was last observed; a peer's word sets a limit, but to lift it lets one request try. A limit outlives its worker's entry for a minute, and belongs to one process of a worker. Unreadable values, failures and refusals neither set nor lift. When no worker takes a request, it is refused at once with the time until the next token. The division of a cold worker's rate uses the same RateOwners as before, now shared. Log line 'worker rate limit changed', metrics kumquatmill_worker_limits, _changes_total.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
@@ -20,6 +20,7 @@
 import io.kumquatmill.traffic.control.TrafficController
 import io.kumquatmill.traffic.fleet.EntryHostInfo
 import io.kumquatmill.traffic.ratelimit.LoanRequest
+import io.kumquatmill.traffic.workerlimit.WorkerLimitChange
 import io.undertow.server.DefaultByteBufferPool
 import kotlinx.serialization.json.Json
 import org.xnio.OptionMap
@@ -56,7 +57,8 @@
         )
     private val loop: XnioIoThread = xnioWorker.ioThread
     private val bufferPool = DefaultByteBufferPool(false, BUFFER_BYTES, POOLED_BUFFERS, 0)
-    private val controller = TrafficController(settings.self, settings.traffic) { request -> sendLoanRequest(request) }
+    private val controller: TrafficController =
+        TrafficController(settings.self, settings.traffic, ::sendLoanRequest, ::onWorkerLimitChange)
     private val httpClient = EventLoopHttpClient(loop, bufferPool, clock)
     private val loanWaiters = LoanWaiters()
     private val callerHandler =
@@ -172,6 +174,7 @@
         stateUpdater.tick(nowMs)
         controller.tick(nowMs)
         httpClient.closeExpiredConnections()
+        metrics.setLimitedWorkers(controller.limitedWorkers)
     }
 
     /** Opens the caller listener on a separate thread, because binding a listener waits for the event loop. */
@@ -200,6 +203,20 @@
         peerSocket.send(PeerMessage(loanRequest = request), listOf(lender.ip))
     }
 
+    private fun onWorkerLimitChange(change: WorkerLimitChange) {
+        metrics.countWorkerLimitChange(change)
+        log.info(
+            "worker rate limit changed",
+            "worker" to change.worker,
+            "limitPerS" to (change.limitPerS ?: "none"),
+            "before" to (change.beforePerS ?: "none"),
+            "ownRatePerS" to change.ownRatePerS,
+            "hosts" to change.hosts,
+            "source" to change.source,
+            "ageMs" to change.ageMs,
+        )
+    }
+
     private fun runAfter(
         delayMs: Long,
         task: () -> Unit,
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
@@ -88,6 +88,7 @@
                 isServing = isServing(),
                 demandPerS = controller.demandPerS(nowMs),
                 sharesPerMille = controller.sharesPerMille(),
+                workerLimits = controller.workerLimits(nowMs),
                 stalePeers = controller.stalePeers(nowMs),
             )
         logContactChange(report.stalePeers, controller.isIsolated(nowMs))
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
@@ -3,18 +3,21 @@
 import io.kumquatmill.gateway.log.resultName
 import io.kumquatmill.traffic.control.AttemptResult
 import io.kumquatmill.traffic.control.StatedRateLimit
+import io.kumquatmill.traffic.workerlimit.WorkerLimitChange
 import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import java.time.Duration
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 
 /** Metrics of an entry host in the Prometheus text format. */
 class GatewayMetrics {
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val requests = HashMap<Pair<String, String>, Counter>()
     private val attempts = HashMap<String, Counter>()
+    private val limitedWorkers = AtomicInteger().also { registry.gauge("kumquatmill.worker.limits", it) }
     private val durations = HashMap<String, Timer>()
 
     /** Returns all metrics in the Prometheus text format. */
@@ -43,6 +46,13 @@
         registry.counter("kumquatmill.worker.limits.stated", "kind", kind).increment()
     }
 
+    /** Counts a [change] of a worker's rate limit. */
+    fun countWorkerLimitChange(change: WorkerLimitChange) =
+        registry.counter("kumquatmill.worker.limits.changes", "kind", if (change.limitPerS == null) "lifted" else "set").increment()
+
+    /** Sets the number of workers that take only a limited rate of requests. */
+    fun setLimitedWorkers(count: Int) = limitedWorkers.set(count)
+
     /** Counts a store call that ended with [outcome]. */
     fun countStoreCall(outcome: String) = registry.counter("kumquatmill.store.calls", "outcome", outcome).increment()
 
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/ReportFrame.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/ReportFrame.kt
@@ -17,6 +17,7 @@
     @SerialName("s") val isServing: Boolean,
     @SerialName("w") val workspaces: WorkspaceColumns,
     @SerialName("p") val stalePeers: List<String>,
+    @SerialName("l") val workerLimits: WorkerLimitColumns = WorkerLimitColumns(),
 ) {
     fun toReport() =
         PeerReport(
@@ -30,6 +31,7 @@
             isServing = isServing,
             demandPerS = workspaces.demandPerS(),
             sharesPerMille = workspaces.sharesPerMille(),
+            workerLimits = workerLimits.toObservations(),
             stalePeers = stalePeers,
         )
 
@@ -46,6 +48,7 @@
                 isServing = report.isServing,
                 workspaces = WorkspaceColumns.of(report),
                 stalePeers = report.stalePeers,
+                workerLimits = WorkerLimitColumns.of(report.workerLimits),
             )
     }
 }
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/peer/PeerMessageCodecTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/peer/PeerMessageCodecTest.kt
@@ -2,6 +2,8 @@
 
 import io.kumquatmill.common.id.WorkspaceId
 import io.kumquatmill.traffic.fleet.PeerReport
+import io.kumquatmill.traffic.fleet.WorkerLimitObservation
+import io.kumquatmill.traffic.fleet.WorkerTag
 import io.kumquatmill.traffic.fleet.WorkspaceTag
 import io.kumquatmill.traffic.ratelimit.LoanGrant
 import io.kumquatmill.traffic.ratelimit.LoanRequest
@@ -36,6 +38,33 @@
         assertEquals(sent, PeerMessageCodec.decode(PeerMessageCodec.encode(PeerMessage(report = sent))).report)
     }
 
+    @Test
+    fun `workers' rate limits are decoded as they were sent, also from a host that sends none`() {
+        val limits =
+            mapOf(
+                WorkerTag(7) to WorkerLimitObservation(2.5, 120),
+                WorkerTag(-8) to WorkerLimitObservation(null, 0),
+                WorkerTag(9) to WorkerLimitObservation(1_000_000.0, Int.MAX_VALUE.toLong()),
+            )
+        listOf(limits, emptyMap()).forEach {
+            val sent = report().copy(workerLimits = it)
+            assertEquals(sent, PeerMessageCodec.decode(PeerMessageCodec.encode(PeerMessage(report = sent))).report)
+        }
+    }
+
+    @Test
+    fun `a report with a negative rate limit or age of a worker is malformed`() {
+        val sent = report(0).copy(workerLimits = mapOf(WorkerTag(7) to WorkerLimitObservation(0.005, 6)))
+        val bytes = PeerMessageCodec.encode(PeerMessage(report = sent))
+        listOf(byteArrayOf(0x9F.toByte(), 5, 0xFF.toByte()) to 0x21, byteArrayOf(0x9F.toByte(), 6, 0xFF.toByte()) to 0x20)
+            .forEach { (column, negative) ->
+                val at = indexOf(bytes, column)
+                assertTrue(at > 0, "expected the column in the encoded report")
+                val changed = bytes.copyOf().also { it[at + 1] = negative.toByte() }
+                assertFailsWith<MalformedPeerMessageException> { PeerMessageCodec.decode(changed) }
+            }
+    }
+
     @Test
     fun `loan requests and grants are decoded as they were sent`() {
         val request = LoanRequest("h1", "10.1.0.7", "h2", "alpha", 3.0, 9)
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
@@ -6,6 +6,8 @@
 import io.kumquatmill.traffic.fleet.EntryHostInfo
 import io.kumquatmill.traffic.fleet.FleetView
 import io.kumquatmill.traffic.fleet.PeerReport
+import io.kumquatmill.traffic.fleet.WorkerLimitObservation
+import io.kumquatmill.traffic.fleet.WorkerTag
 import io.kumquatmill.traffic.fleet.WorkspaceTag
 import io.kumquatmill.traffic.model.SteeringState
 import io.kumquatmill.traffic.model.TrafficRoute
@@ -21,6 +23,8 @@
 import io.kumquatmill.traffic.retry.RetryBudget
 import io.kumquatmill.traffic.route.RouteIndex
 import io.kumquatmill.traffic.route.WeightedRoundRobin
+import io.kumquatmill.traffic.workerlimit.WorkerLimitChange
+import io.kumquatmill.traffic.workerlimit.WorkerLimits
 import kotlin.math.min
 
 /**
@@ -29,15 +33,19 @@
  * Instances are not thread-safe. All times are milliseconds of one monotonic clock.
  *
  * @param sendLoanRequest sends a request for rate limit tokens to a peer
+ * @param onWorkerLimitChange called when a worker's rate limit is set, changed or lifted
  */
 class TrafficController(
     private val self: EntryHostInfo,
     private val settings: TrafficSettings,
     sendLoanRequest: (LoanRequest) -> Unit = { },
+    onWorkerLimitChange: (WorkerLimitChange) -> Unit = { },
 ) {
     private val fleet = FleetView(self, settings.fleet, minFleetSize = settings.regionByZone.size)
     private val rateLimiter = WorkspaceRateLimiter(fleet, settings.rateLimit, sendLoanRequest)
-    private val workers = WorkerRegistry(self.host, settings.placement, settings.coldRateFactor, settings.coldRateSlack)
+    private val workerLimits = WorkerLimits(fleet, settings.workerLimit, settings.regionByZone, onWorkerLimitChange)
+    private val workers =
+        WorkerRegistry(self.host, settings.placement, workerLimits, settings.coldRateFactor, settings.coldRateSlack)
     private val placement = Placement(workers, settings.regionByZone, AvailabilityZoneId(self.availabilityZone), settings.placement)
     private val retryBudget = RetryBudget(settings.retryRatio, settings.retryReserve, settings.retryWindowMs)
     private val roundRobin = WeightedRoundRobin()
@@ -55,6 +63,10 @@
     val maxBodyBytes: Long
         get() = state.desired?.maxBodyBytes ?: 0
 
+    /** Number of workers that take only a limited rate of requests. */
+    val limitedWorkers: Int
+        get() = workerLimits.inForceCount
+
     /** Whether requests can be served: a desired state and at least one worker are known. */
     val isReady: Boolean
         get() = state.desired != null && state.workers.isNotEmpty()
@@ -91,7 +103,7 @@
     fun onReport(
         nowMs: Long,
         report: PeerReport,
-    ): Boolean = fleet.onReport(nowMs, report)
+    ): Boolean = fleet.onReport(nowMs, report).also { isApplied -> if (isApplied) workerLimits.onReport(nowMs, report) }
 
     /** Returns the time in milliseconds for which changes of the store are collected before they are applied. */
     fun changeBatchMs(): Long = fleet.changeBatchMs()
@@ -121,6 +133,9 @@
     /** Returns this host's shares of the workspaces' rate limits in thousandths, to be reported to peers. */
     fun sharesPerMille(): Map<WorkspaceTag, Int> = rateLimiter.sharesPerMille()
 
+    /** Returns this host's own observations of the rates that workers take, to be reported to peers. */
+    fun workerLimits(nowMs: Long): Map<WorkerTag, WorkerLimitObservation> = workerLimits.ownObservations(nowMs)
+
     /** Returns the names of the peers without a fresh report. */
     fun stalePeers(nowMs: Long): List<String> = fleet.stalePeers(nowMs)
 
@@ -134,6 +149,7 @@
     fun tick(nowMs: Long) {
         rateLimiter.rebalance(nowMs)
         workers.updateLimits(nowMs, fleet.hostNames())
+        workerLimits.updateParts(nowMs)
     }
 
     /** Resolves the route and workspace of a request for [host] and [path] that came with [key], or without one if it is null. */
@@ -232,6 +248,8 @@
         request.currentAttempt = null
         val worker = attempt.worker
         worker.onFinished(attempt.sentAtMs)
+        val mayLift = result is AttemptResult.Answered && result.status < SERVER_ERROR
+        workerLimits.onResponse(nowMs, attempt.sentAtMs, worker.entry, result.rateLimit, mayLift)
         return when (result) {
             is AttemptResult.Answered -> {
                 result.load?.let { worker.onLoadReport(nowMs, it.running, it.waiting) }
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficSettings.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficSettings.kt
@@ -5,6 +5,7 @@
 import io.kumquatmill.traffic.fleet.FleetSettings
 import io.kumquatmill.traffic.placement.PlacementSettings
 import io.kumquatmill.traffic.ratelimit.RateLimitSettings
+import io.kumquatmill.traffic.workerlimit.WorkerLimitSettings
 
 /**
  * Settings of a [TrafficController].
@@ -26,4 +27,5 @@
     val fleet: FleetSettings = FleetSettings(),
     val rateLimit: RateLimitSettings = RateLimitSettings(),
     val placement: PlacementSettings = PlacementSettings(),
+    val workerLimit: WorkerLimitSettings = WorkerLimitSettings(),
 )
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/FleetView.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/FleetView.kt
@@ -82,6 +82,9 @@
     /** Returns the number of hosts in the fleet, alive or not, including this one. */
     fun size(): Int = max(minFleetSize, peers.size + 1)
 
+    /** Returns the records of all known hosts, including this one. */
+    fun hosts(): List<EntryHostInfo> = peers() + self
+
     /** Returns the names of all known hosts, including this one. */
     fun hostNames(): Set<String> = peers.keys + self.host
 
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/PeerReport.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/PeerReport.kt
@@ -9,6 +9,7 @@
  * @property demandPerS demand at this host by workspace, in requests per second; workspaces without demand are left out
  * @property sharesPerMille the host's shares of the workspaces' rate limits in thousandths, rounded up; idle shares of workspaces
  * without demand are left out
+ * @property workerLimits the host's own observations of the rates that workers take
  * @property stalePeers names of the peers without a fresh report
  */
 data class PeerReport(
@@ -22,6 +23,7 @@
     val isServing: Boolean,
     val demandPerS: Map<WorkspaceTag, Double> = emptyMap(),
     val sharesPerMille: Map<WorkspaceTag, Int> = emptyMap(),
+    val workerLimits: Map<WorkerTag, WorkerLimitObservation> = emptyMap(),
     val stalePeers: List<String> = emptyList(),
 ) {
     /** Record of the host that sent this report. */
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
@@ -51,7 +51,7 @@
         val eligible = workers.workersOf(query.upstream).filter { isEligible(it, query) }
         val available = eligible.filter { it.isAvailable(nowMs) && it.entry.id !in query.triedWorkers }
         if (available.isEmpty()) {
-            return if (eligible.isEmpty()) PlacementChoice.NoWorker else PlacementChoice.NoCapacity(UNAVAILABLE_RETRY_AFTER_MS)
+            return if (eligible.isEmpty()) PlacementChoice.NoWorker else PlacementChoice.NoCapacity(unavailableMs(nowMs, query, eligible))
         }
         val candidates = ranked(query, available).mapIndexed { rank, worker -> candidate(nowMs, query, worker, rank) }
         val best = candidates.filter { it.acceptsKey && isInTime(query, it) }.minByOrNull { it.costMs }
@@ -178,16 +178,32 @@
             .also { weightsByUpstream[upstream] = CachedWeights(workers.version, it) }
     }
 
-    /** Refuses a request. Retry times are spread over up to twice the wait, so that callers do not all retry at once. */
+    /** Refuses a request that would have to wait too long at every worker. */
     private fun noCapacity(
         nowMs: Long,
         query: PlacementQuery,
         available: List<TrackedWorker>,
     ): PlacementChoice {
         val shortestMs = max(MIN_RETRY_AFTER_MS, available.minOf { it.expectedWaitMs(nowMs) })
-        return PlacementChoice.NoCapacity((shortestMs * (1 + toUnitInterval(combineHashes(query.requestHash, SPREAD_SALT)))).toLong())
+        return PlacementChoice.NoCapacity(spread(query, shortestMs))
     }
 
+    /** Returns when to retry although no worker is available; if workers keep to a rate limit, not before one of them takes a request. */
+    private fun unavailableMs(
+        nowMs: Long,
+        query: PlacementQuery,
+        eligible: List<TrackedWorker>,
+    ): Long {
+        val tokenMs = eligible.mapNotNull { it.rateLimit.availableInMs(nowMs) }.minOrNull() ?: 0
+        return if (tokenMs <= UNAVAILABLE_RETRY_AFTER_MS) UNAVAILABLE_RETRY_AFTER_MS else spread(query, tokenMs.toDouble())
+    }
+
+    /** Returns a time from [shortestMs] to twice as much, which differs between requests so that callers do not all retry at once. */
+    private fun spread(
+        query: PlacementQuery,
+        shortestMs: Double,
+    ): Long = (shortestMs * (1 + toUnitInterval(combineHashes(query.requestHash, SPREAD_SALT)))).toLong()
+
     private fun regionOf(worker: TrackedWorker): RegionId? = regionByZone[worker.entry.availabilityZone]
 
     private fun roundTripMs(worker: TrackedWorker): Double = if (regionOf(worker) == ownRegion) 0.0 else settings.crossRegionRoundTripMs
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/TrackedWorker.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/TrackedWorker.kt
@@ -3,6 +3,7 @@
 import io.kumquatmill.common.hash.stableHash
 import io.kumquatmill.limits.bucket.TokenBucket
 import io.kumquatmill.traffic.model.WorkerEntry
+import io.kumquatmill.traffic.workerlimit.WorkerRateLimit
 import kotlin.math.exp
 import kotlin.math.max
 import kotlin.math.min
@@ -11,6 +12,7 @@
 class TrackedWorker internal constructor(
     entry: WorkerEntry,
     private val settings: PlacementSettings,
+    internal val rateLimit: WorkerRateLimit,
 ) {
     /** Latest entry of the worker. */
     var entry: WorkerEntry = entry
@@ -65,7 +67,7 @@
     /** Returns whether the worker can receive a request now; after repeated failures it receives only one request at a time. */
     fun isAvailable(nowMs: Long): Boolean {
         val isEjected = nowMs < ejectedUntilMs || (consecutiveFailures >= settings.failuresToEject && inFlight > 0)
-        return !isLeaving && !isEjected && inFlight < connectionLimit && hasColdCapacity(nowMs)
+        return !isLeaving && !isEjected && inFlight < connectionLimit && hasColdCapacity(nowMs) && rateLimit.allows(nowMs)
     }
 
     /** Returns the estimated number of requests from all hosts at the worker. */
@@ -100,6 +102,7 @@
         inFlightSentAtMs.addLast(nowMs)
         if (affinityHash != null) cachedKeys[affinityHash] = Unit
         if (isCold(nowMs)) coldBucket?.tryTake(nowMs, 1.0)
+        rateLimit.onSent(nowMs)
     }
 
     internal fun onFinished(sentAtMs: Long) {
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/WorkerRegistry.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/WorkerRegistry.kt
@@ -1,7 +1,5 @@
 package io.kumquatmill.traffic.placement
 
-import io.kumquatmill.common.hash.combineHashes
-import io.kumquatmill.common.hash.stableHash
 import io.kumquatmill.common.id.AvailabilityZoneId
 import io.kumquatmill.common.id.UpstreamId
 import io.kumquatmill.common.id.WorkerId
@@ -9,22 +7,27 @@
 import io.kumquatmill.traffic.model.SteeringState
 import io.kumquatmill.traffic.model.Upstream
 import io.kumquatmill.traffic.model.WorkerEntry
+import io.kumquatmill.traffic.workerlimit.RateOwners
+import io.kumquatmill.traffic.workerlimit.WorkerLimits
 import kotlin.math.max
 
 /**
  * All known workers by upstream, with this host's part of their connection and rate limits.
  *
  * @param selfName name of this host
+ * @param rateLimits rates that the workers take from all hosts together
  * @param coldRateFactor multiple of a cold worker's rate limit that all hosts together may reach
  * @param coldRateSlack additional requests that all hosts together may send to a cold worker in any second
  */
-class WorkerRegistry(
-    private val selfName: String,
+class WorkerRegistry internal constructor(
+    selfName: String,
     private val settings: PlacementSettings,
+    private val rateLimits: WorkerLimits,
     private val coldRateFactor: Double,
     private val coldRateSlack: Double,
 ) {
     private val workers = HashMap<WorkerId, TrackedWorker>()
+    private val owners = RateOwners(selfName)
     private var workersByUpstream: Map<UpstreamId, List<TrackedWorker>> = emptyMap()
     private var evacuatedZones: Set<AvailabilityZoneId> = emptySet()
     private var upstreams: Map<UpstreamId, Upstream> = emptyMap()
@@ -44,6 +47,7 @@
         val restoredZones = evacuatedZones - state.evacuatedZones
         evacuatedZones = state.evacuatedZones
         workers.keys.retainAll(state.workers.keys)
+        rateLimits.retain(nowMs, state.workers.values)
         state.workers.values.forEach { updateWorker(nowMs, it) }
         workers.values.filter { it.entry.availabilityZone in restoredZones }.forEach { worker ->
             worker.coldUntilMs = max(worker.coldUntilMs, nowMs + (upstreams[worker.entry.upstream]?.coldMs ?: 0))
@@ -73,7 +77,7 @@
         val known = workers[entry.id]
         if (known?.entry?.revision == entry.revision) return
         val isSameProcess = known != null && known.entry.startedAtMs == entry.startedAtMs && known.entry.address == entry.address
-        val worker = if (isSameProcess) known else TrackedWorker(entry, settings).also { workers[entry.id] = it }
+        val worker = if (isSameProcess) known else TrackedWorker(entry, settings, rateLimits.of(entry)).also { workers[entry.id] = it }
         worker.entry = entry
         worker.isLeaving = entry.isDraining
         worker.coldUntilMs = nowMs + entry.warmUpRemainingMs
@@ -95,8 +99,7 @@
         }
         val tolerance = ratePerS * (coldRateFactor - RATE_FRACTION) + coldRateSlack
         val maxOwners = max(1, (tolerance * TOLERANCE_FRACTION).toInt())
-        val owners = hosts.sortedByDescending { combineHashes(worker.nameHash, stableHash(it)) }.take(maxOwners)
-        val ownRatePerS = if (selfName in owners) ratePerS * RATE_FRACTION / owners.size else 0.0
+        val ownRatePerS = ratePerS * RATE_FRACTION * owners.ownPart(worker.nameHash, hosts, maxOwners)
         val bucket = worker.coldBucket ?: TokenBucket(ownRatePerS, 1.0, nowMs, if (ownRatePerS > 0) 1.0 else 0.0)
         bucket.rescale(nowMs, ownRatePerS, 1.0)
         worker.coldBucket = bucket
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/workerlimit/WorkerLimitSimulation.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/workerlimit/WorkerLimitSimulation.kt
@@ -20,9 +20,10 @@
 internal enum class HostFault { PEERS_CUT, FROZEN, RESTARTED, ALL_RESTARTED }
 
 /**
- * Simulates a fleet of [hostCount] hosts and a few workers, the first of which is in need of relief for a while: from [NEED_STARTS_MS] to
- * [NEED_ENDS_MS] its responses name a limit of [limitPerS] requests per second.
+ * Simulates a fleet of [hostCount] hosts and a few workers, the first of which is in need of relief for a while: its responses name a limit
+ * of [limitPerS] requests per second.
  *
+ * @param needsMs times during which the worker names its limit
  * @param entryRevisionAtMs time at which the store has a new entry of the worker in need, which says nothing new
  */
 internal class WorkerLimitSimulation(
@@ -32,8 +33,9 @@
     private val faults: Set<HostFault>,
     seed: Long,
     private val entryRevisionAtMs: Long? = null,
+    private val needsMs: List<LongRange> = listOf(NEED_STARTS_MS until NEED_ENDS_MS),
 ) {
-    /** Request at the worker in need; [isTold] states whether its host had the worker's limit half a second before. */
+    /** Request that reaches the worker in its need; [isTold] states whether its host had got the limit half a second before. */
     class Arrival(
         val atMs: Long,
         val isTold: Boolean,
@@ -45,7 +47,7 @@
         val controller: TrafficController,
     ) {
         var sequence = 0L
-        var toldAtMs: Long? = null
+        val toldAtMs = HashMap<LongRange?, Long>()
         var cutUntilMs = 0L
         var frozenUntilMs = 0L
         var clockLagMs = 0L
@@ -88,9 +90,9 @@
         return this
     }
 
-    /** Returns the most requests in any window of [WINDOW_MS] that ends at least that long after the worker first named its limit. */
+    /** Returns the most requests in any window of [WINDOW_MS] while the worker names its limit. */
     fun maxToldInWindow(): Int {
-        val told = arrivals.filter { it.isTold && it.atMs >= NEED_STARTS_MS }.map { it.atMs }
+        val told = arrivals.filter { it.isTold }.map { it.atMs }
         return told.indices.maxOfOrNull { last -> (last downTo 0).takeWhile { told[it] > told[last] - WINDOW_MS }.count() } ?: 0
     }
 
@@ -143,7 +145,7 @@
         request: TrafficRequest?,
         action: RequestAction,
     ) {
-        val isInNeed = nowMs in NEED_STARTS_MS until NEED_ENDS_MS
+        val isInNeed = need() != null
         when (action) {
             is RequestAction.Send -> {
                 if (isInNeed) served++
@@ -162,19 +164,24 @@
         oneWayMs: Long,
     ) {
         val isWorkerInNeed = action.worker.entry.id == workers.first().id
-        if (isWorkerInNeed) arrivals += Arrival(nowMs, host.toldAtMs?.let { nowMs - it >= TOLD_MARGIN_MS } ?: false)
+        if (isWorkerInNeed) arrivals += Arrival(nowMs, isTold(host))
         after(random.nextLong(SERVICE_MS / 2, SERVICE_MS * 3 / 2)) {
-            val isNamed = isWorkerInNeed && nowMs in NEED_STARTS_MS until NEED_ENDS_MS
+            val isNamed = isWorkerInNeed && need() != null
             val stated = if (isNamed) StatedRateLimit.Named(limitPerS) else StatedRateLimit.None
             after(oneWayMs) {
                 ifRunning(host) {
-                    if (isNamed && host.toldAtMs == null) host.toldAtMs = nowMs
+                    if (isNamed) host.toldAtMs.putIfAbsent(need(), nowMs)
                     perform(host, request, host.controller.onResult(timeOf(host), request, AttemptResult.Answered(OK, null, stated)))
                 }
             }
         }
     }
 
+    /** Returns the time in which the worker is in need now, or null if it is not. */
+    private fun need(): LongRange? = needsMs.find { nowMs in it }
+
+    private fun isTold(host: Host): Boolean = need()?.let { host.toldAtMs[it] }?.let { nowMs - it >= TOLD_MARGIN_MS } ?: false
+
     private fun sendReport(from: Host) {
         val report = reportOf(from)
         hosts.filter { it !== from && nowMs >= from.cutUntilMs && nowMs >= it.cutUntilMs }.forEach { to ->
@@ -193,6 +200,7 @@
             availabilityZone = info.availabilityZone,
             storeRevision = 1,
             isServing = true,
+            workerLimits = host.controller.workerLimits(timeOf(host)),
         )
     }
 
