Log and export the era of the store

The logs could not say which revisions belong together, because the header was not read. No decision changes: a line 'store era' at the start, 'store came back from an older copy' with both eras and the revision that the host has, gauge kumquatmill_store_era.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
@@ -75,7 +75,7 @@
             ),
         )
     private val random = Random(settings.self.host.hashCode() xor System.nanoTime().toInt())
-    private val storeClient = EventLoopStoreClient(httpClient, settings.storeAddress, adapter.storeProtocol)
+    private val storeClient = EventLoopStoreClient(httpClient, settings.storeAddress, adapter.storeProtocol, ::onNewStoreEra)
     private val sendStoreCall: SendStoreCall = { call, onResult ->
         storeClient.call(call) { result ->
             metrics.countStoreCall(result.fold({ it.javaClass.simpleName }, { "answered" }))
@@ -203,6 +203,15 @@
         peerSocket.send(PeerMessage(loanRequest = request), listOf(lender.ip))
     }
 
+    private fun onNewStoreEra(
+        before: Long?,
+        era: Long,
+    ) {
+        metrics.setStoreEra(era)
+        if (before == null) return log.info("store era", "era" to era)
+        log.warn("store came back from an older copy", "era" to era, "before" to before, "revision" to cache.revision)
+    }
+
     private fun onWorkerLimitChange(change: WorkerLimitChange) {
         metrics.countWorkerLimitChange(change)
         log.info(
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
@@ -11,6 +11,7 @@
 import java.time.Duration
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
 
 /** Metrics of an entry host in the Prometheus text format. */
 class GatewayMetrics {
@@ -18,6 +19,7 @@
     private val requests = HashMap<Pair<String, String>, Counter>()
     private val attempts = HashMap<String, Counter>()
     private val limitedWorkers = AtomicInteger().also { registry.gauge("kumquatmill.worker.limits", it) }
+    private val storeEra = AtomicLong().also { registry.gauge("kumquatmill.store.era", it) }
     private val durations = HashMap<String, Timer>()
 
     /** Returns all metrics in the Prometheus text format. */
@@ -56,6 +58,9 @@
     /** Counts a store call that ended with [outcome]. */
     fun countStoreCall(outcome: String) = registry.counter("kumquatmill.store.calls", "outcome", outcome).increment()
 
+    /** Sets the era of the store, which rises each time that the store comes back from an older copy. */
+    fun setStoreEra(era: Long) = storeEra.set(era)
+
     /** Counts idle caller connections that were closed because too many connections were open. */
     fun countClosedIdleConnections(closed: Int) = registry.counter("kumquatmill.callers.closed.idle").increment(closed.toDouble())
 
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/EventLoopStoreClient.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/EventLoopStoreClient.kt
@@ -10,12 +10,19 @@
 import io.kumquatmill.store.StoreError
 import io.kumquatmill.store.StoreReply
 
-/** Client of the key-value store at [address] that runs on the event loop. Calls are never retried. */
+/**
+ * Client of the key-value store at [address] that runs on the event loop. Calls are never retried.
+ *
+ * @param onNewEra called before the result of the first call that the store answers in a new era, with the era before and the new one
+ */
 class EventLoopStoreClient(
     private val httpClient: EventLoopHttpClient,
     private val address: HostAddress,
     private val protocol: StoreProtocol,
+    private val onNewEra: (before: Long?, era: Long) -> Unit,
 ) {
+    private val eras = StoreEraTracker()
+
     /** Sends [call] and passes its reply or error to [onResult]. */
     fun call(
         call: StoreCall,
@@ -41,11 +48,20 @@
         result: CallResult,
     ): Either<StoreError, StoreReply> =
         when (result) {
-            is CallResult.Response -> protocol.decode(call, result.status, result.body)
+            is CallResult.Response -> {
+                trackEra(result)
+                protocol.decode(call, result.status, result.body)
+            }
             is CallResult.NotSent -> StoreError.Unavailable(result.detail).left()
             is CallResult.Incomplete -> StoreError.Unknown(result.detail).left()
         }
 
+    private fun trackEra(response: CallResult.Response) {
+        val before = eras.era
+        eras.onAnswer(response.header(protocol.eraHeader))
+        eras.era?.let { if (it != before) onNewEra(before, it) }
+    }
+
     private val hostHeader = listOf("Host" to address.toString())
     private val jsonHeader = listOf("Content-Type" to "application/json")
 
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StoreProtocol.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StoreProtocol.kt
@@ -7,6 +7,9 @@
 
 /** Encodes calls to the key-value store as HTTP requests and decodes the responses. */
 interface StoreProtocol {
+    /** Name of the response header that states the era of the store. */
+    val eraHeader: String
+
     /** Encodes [call] as an HTTP request. */
     fun encode(call: StoreCall): StoreRequest
 
