Apply what a store that came back from an older copy is told next

Cause: a restored store gives revisions out again. The cache applies only higher revisions of a key, so that a version with a revision seen before was ignored. Class of fault: a number taken for an order after its source had begun to count anew.

Change: a revision has the store's era in its upper bits from the moment when it is decoded, so that the cache, the reports between hosts and the state that peers fetch order it correctly without knowing of eras. What an older copy says does not count against what is known: a desired state never goes back to an older version, a worker's entry never to an older statement of the same process; the entry of a worker that has left and the mark of a zone that was taken back are held back for 4.5 s, and a missing mark is kept as long. A host registers again, because its lease or record may be gone. An answer of an earlier era, or with a revision out of range, has an unknown outcome.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
@@ -17,6 +17,7 @@
 import io.kumquatmill.gateway.store.PrefixWatcher
 import io.kumquatmill.gateway.store.SendStoreCall
 import io.kumquatmill.gateway.store.StateCache
+import io.kumquatmill.gateway.store.describeRevision
 import io.kumquatmill.traffic.control.TrafficController
 import io.kumquatmill.traffic.fleet.EntryHostInfo
 import io.kumquatmill.traffic.ratelimit.LoanRequest
@@ -86,13 +87,13 @@
     private val stateUpdater = StateUpdater(cache, controller, clock, log) { openCallerListener() }
     private val watchers =
         adapter.stateKeys.watchedPrefixes.map {
-            PrefixWatcher(it, sendStoreCall, ::runAfter, stateUpdater, random, batchDelayMs = controller::changeBatchMs)
+            PrefixWatcher(it, sendStoreCall, ::runAfter, stateUpdater, random, controller::changeBatchMs, storeClient::isConnected)
         }
     private val registration =
         HostRegistration(
             key = adapter.stateKeys.hostPrefix + settings.self.host,
             record = Json.encodeToString(EntryHostInfo.serializer(), settings.self),
-            send = sendStoreCall,
+            sendCall = sendStoreCall,
             runAfter = ::runAfter,
             random = random,
         )
@@ -209,7 +210,8 @@
     ) {
         metrics.setStoreEra(era)
         if (before == null) return log.info("store era", "era" to era)
-        log.warn("store came back from an older copy", "era" to era, "before" to before, "revision" to cache.revision)
+        registration.onStoreRestored()
+        log.warn("store came back from an older copy", "era" to era, "before" to before, "revision" to describeRevision(cache.revision))
     }
 
     private fun onWorkerLimitChange(change: WorkerLimitChange) {
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/StateUpdater.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/StateUpdater.kt
@@ -4,6 +4,7 @@
 import io.kumquatmill.gateway.log.EventLog
 import io.kumquatmill.gateway.store.StateCache
 import io.kumquatmill.gateway.store.StoreListener
+import io.kumquatmill.gateway.store.describeRevision
 import io.kumquatmill.store.StoreChange
 import io.kumquatmill.store.StoreEntry
 import io.kumquatmill.store.StoreError
@@ -30,7 +31,7 @@
         revision: Long,
     ) {
         cache.onSnapshot(clock.nowMs(), prefix, entries, revision)
-        log.info("snapshot read from store", "prefix" to prefix, "entries" to entries.size, "revision" to revision)
+        log.info("snapshot read from store", "prefix" to prefix, "entries" to entries.size, "revision" to describeRevision(revision))
         applyState("store")
     }
 
@@ -66,7 +67,7 @@
         revision: Long,
     ) {
         prefixes.forEach { prefix -> cache.onSnapshot(clock.nowMs(), prefix, entries.filter { it.key.startsWith(prefix) }, revision) }
-        log.info("snapshot fetched from peer", "peer" to peer, "revision" to revision)
+        log.info("snapshot fetched from peer", "peer" to peer, "revision" to describeRevision(revision))
         applyState(peer)
     }
 
@@ -92,7 +93,7 @@
         }
         log.info(
             "state applied",
-            "revision" to cache.revision,
+            "revision" to describeRevision(cache.revision),
             "source" to source,
             "workers" to state.workers.size,
             "draining" to state.workers.values.count { it.isDraining },
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/EventLoopHttpClient.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/EventLoopHttpClient.kt
@@ -1,5 +1,6 @@
 package io.kumquatmill.gateway.http
 
+import io.kumquatmill.common.fleet.HostAddress
 import io.kumquatmill.common.time.MonotonicClock
 import io.undertow.client.ClientCallback
 import io.undertow.client.ClientConnection
@@ -38,6 +39,9 @@
         onResult: (CallResult) -> Unit,
     ): OngoingCall = ActiveCall(call, onResult).apply { start() }
 
+    /** Returns whether an idle connection to [address] is open. Must run on the event loop. */
+    fun hasIdleConnection(address: HostAddress): Boolean = idleConnections.hasOpen(address)
+
     /** Closes the connections whose idle timeout has passed. Must run on the event loop. */
     fun closeExpiredConnections() = idleConnections.closeExpired()
 
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/IdleConnectionPool.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/IdleConnectionPool.kt
@@ -33,6 +33,10 @@
         }
     }
 
+    /** Returns whether there is an open connection to [address]. */
+    fun hasOpen(address: HostAddress): Boolean =
+        connectionsByAddress[address].orEmpty().any { it.connection.isOpen && clock.nowMs() < it.expiresAtMs }
+
     /** Keeps [connection] for reuse for at most [idleTimeoutMs]; closes it if that is not positive or the pool of [address] is full. */
     fun release(
         address: HostAddress,
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/RequestLog.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/RequestLog.kt
@@ -3,6 +3,7 @@
 import io.kumquatmill.common.id.WorkerId
 import io.kumquatmill.common.id.WorkspaceId
 import io.kumquatmill.gateway.caller.LocalResponse
+import io.kumquatmill.gateway.store.describeRevision
 import io.kumquatmill.traffic.control.AttemptResult
 import io.kumquatmill.traffic.control.RouteResolution
 import io.kumquatmill.traffic.control.StatedRateLimit
@@ -49,7 +50,7 @@
         .addKeyValue("request", id)
         .addKeyValue("worker", worker.id)
         .addKeyValue("zone", worker.availabilityZone)
-        .addKeyValue("workerRevision", worker.revision)
+        .addKeyValue("workerRevision", describeRevision(worker.revision))
         .addKeyValue("load", load)
         .addKeyValue("version", version)
         .log("sent")
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/EventLoopStoreClient.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/EventLoopStoreClient.kt
@@ -23,12 +23,16 @@
 ) {
     private val eras = StoreEraTracker()
 
+    /** Whether the next call goes over a connection on which the store has answered before. */
+    val isConnected: Boolean
+        get() = httpClient.hasIdleConnection(address)
+
     /** Sends [call] and passes its reply or error to [onResult]. */
     fun call(
         call: StoreCall,
         onResult: (Either<StoreError, StoreReply>) -> Unit,
     ) {
-        val request = protocol.encode(call)
+        val request = protocol.encode(call.withNumbers())
         val watchWaitMs = if (call is StoreCall.Watch) call.waitMs else 0
         val httpCall =
             HttpCall(
@@ -48,18 +52,25 @@
         result: CallResult,
     ): Either<StoreError, StoreReply> =
         when (result) {
-            is CallResult.Response -> {
-                trackEra(result)
-                protocol.decode(call, result.status, result.body)
-            }
+            is CallResult.Response -> decode(call, result)
             is CallResult.NotSent -> StoreError.Unavailable(result.detail).left()
             is CallResult.Incomplete -> StoreError.Unknown(result.detail).left()
         }
 
-    private fun trackEra(response: CallResult.Response) {
+    private fun decode(
+        call: StoreCall,
+        response: CallResult.Response,
+    ): Either<StoreError, StoreReply> {
         val before = eras.era
-        eras.onAnswer(response.header(protocol.eraHeader))
-        eras.era?.let { if (it != before) onNewEra(before, it) }
+        val era =
+            eras.onAnswer(response.header(protocol.eraHeader))
+                ?: return StoreError.Unknown("the answer is older than the store's return from a copy").left()
+        if (before != eras.era) onNewEra(before, era)
+        return try {
+            protocol.decode(call, response.status, response.body).mapLeft { it.inEra(era) }.map { it.inEra(era) }
+        } catch (e: IllegalArgumentException) {
+            StoreError.Unknown("invalid answer: ${e.message}").left()
+        }
     }
 
     private val hostHeader = listOf("Host" to address.toString())
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/HostRegistration.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/HostRegistration.kt
@@ -1,5 +1,6 @@
 package io.kumquatmill.gateway.store
 
+import arrow.core.Either
 import io.kumquatmill.store.LeaseId
 import io.kumquatmill.store.StoreCall
 import io.kumquatmill.store.StoreError
@@ -17,17 +18,25 @@
 class HostRegistration(
     private val key: String,
     private val record: String,
-    private val send: SendStoreCall,
+    private val sendCall: SendStoreCall,
     private val runAfter: RunAfter,
     private val random: Random,
 ) {
     private var lease: LeaseId? = null
     private var recordRevision = StoreCall.NO_REVISION
     private var isDeregistered = false
+    private var generation = 0
 
     /** Requests a lease, writes the record and keeps the lease renewed. */
     fun start() = grantLease()
 
+    /** Registers again, because the store came back from an older copy and may have lost the lease or the record. */
+    fun onStoreRestored() {
+        generation++
+        lease = null
+        scheduleWithJitter(RESTORE_DELAY_MS) { grantLease() }
+    }
+
     /** Deletes the record, so that peers can remove this host from the fleet, and stops renewing the lease. */
     fun deregister() {
         isDeregistered = true
@@ -67,15 +76,30 @@
         }
     }
 
+    /** Sends [call]; the result of a call from before a restore of the store is ignored. */
+    private fun send(
+        call: StoreCall,
+        onResult: (Either<StoreError, StoreReply>) -> Unit,
+    ) {
+        val sentIn = generation
+        sendCall(call) { if (sentIn == generation) onResult(it) }
+    }
+
     private fun scheduleWithJitter(
         delayMs: Long,
         task: () -> Unit,
-    ) = runAfter(delayMs / 2 + random.nextLong(delayMs / 2 + 1), task)
+    ) {
+        val scheduledIn = generation
+        runAfter(delayMs / 2 + random.nextLong(delayMs / 2 + 1)) { if (scheduledIn == generation) task() }
+    }
 
     private companion object {
         /** Outlives a restart of the whole fleet, after which hosts must know the size of the fleet. */
         const val LEASE_TTL_MS = 30_000L
         const val RENEW_INTERVAL_MS = 9_000L
         const val RETRY_DELAY_MS = 1_000L
+
+        /** Spreads the writes of all hosts after the store came back. */
+        const val RESTORE_DELAY_MS = 2_000L
     }
 }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/PrefixWatcher.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/PrefixWatcher.kt
@@ -17,11 +17,12 @@
 /**
  * Watches all entries under [prefix]: reads a snapshot and then watches for changes.
  *
- * When the store has compacted its history, a new snapshot is read. Failed calls are retried with exponential backoff and jitter, so
- * that not all hosts call a recovering service at the same time.
+ * When the store has compacted its history or came back from an older copy, a new snapshot is read. Failed calls are retried with
+ * exponential backoff and jitter, so that not all hosts call a recovering service at the same time.
  *
  * @param batchDelayMs returns the time in milliseconds for which changes are collected before the next watch: they come in bursts, and
  * each call is charged for
+ * @param isConnected returns whether the next call goes over a connection on which the store has answered before
  */
 class PrefixWatcher(
     private val prefix: String,
@@ -30,6 +31,7 @@
     private val listener: StoreListener,
     private val random: Random,
     private val batchDelayMs: () -> Long,
+    private val isConnected: () -> Boolean = { true },
     private val watchWaitMs: Long = WATCH_WAIT_MS,
 ) {
     private var revision: Long? = null
@@ -52,7 +54,9 @@
                 val page = reply as StoreReply.Entries
                 val entries = previousEntries + page.entries
                 val snapshotRevision = firstRevision ?: page.revision
-                if (page.hasMore && page.entries.isNotEmpty()) {
+                if (eraOf(page.revision) != eraOf(snapshotRevision)) {
+                    readSnapshot()
+                } else if (page.hasMore && page.entries.isNotEmpty()) {
                     readPage(page.entries.last().key, entries, snapshotRevision)
                 } else {
                     onSnapshotRead(entries, snapshotRevision)
@@ -75,7 +79,8 @@
     private fun watch() {
         val afterRevision = revision ?: return readSnapshot()
         // The store may never respond to a call that is sent during an outage; a long wait would then delay recovery after the outage.
-        val waitMs = if (failures > 0) min(watchWaitMs, PROBE_WATCH_WAIT_MS) else watchWaitMs
+        // A store that came back from an older copy closed the connection, and may wait for changes after a revision given out again.
+        val waitMs = if (failures > 0 || !isConnected()) min(watchWaitMs, PROBE_WATCH_WAIT_MS) else watchWaitMs
         sendGuarded(StoreCall.Watch(prefix, afterRevision, waitMs)) { result ->
             result.fold({ error ->
                 if (error is StoreError.HistoryGone) {
@@ -87,6 +92,11 @@
             }) { reply ->
                 val changes = reply as StoreReply.Changes
                 onSucceeded()
+                if (eraOf(changes.revision) != eraOf(afterRevision)) {
+                    // The store has given out the watched revision again, so that changes before it may be missing.
+                    revision = null
+                    return@fold readSnapshot()
+                }
                 revision = maxOf(revision ?: 0, changes.revision)
                 if (changes.changes.isNotEmpty()) {
                     listener.onChanges(changes.changes)
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StateCache.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StateCache.kt
@@ -12,6 +12,11 @@
 /**
  * The store entries that this host knows, from the store and from peers; for each key the highest revision wins.
  *
+ * A store that came back from an older copy lacks what was written last until operators and workers write it again, and has what was
+ * deleted. The desired state never goes back to an older version, and a worker's entry never to an older statement of the same process.
+ * The entry of a worker that has left, and the mark of a zone that is no longer evacuated, are held back for a while: they apply if the
+ * store still has them then. The mark of an evacuated zone that is missing is kept for as long.
+ *
  * When a worker's entry disappears during or shortly after a store outage, its lease may have expired although the worker is alive.
  * The worker is kept for a grace period after the store recovers, in which a live worker writes its entry again.
  */
@@ -24,7 +29,19 @@
         val value: T?,
     )
 
+    private class Held(
+        val entry: StoreEntry,
+        val untilMs: Long,
+    )
+
+    private class DepartedWorker(
+        val worker: WorkerEntry,
+        val atMs: Long,
+    )
+
     private val entries = HashMap<String, StoreEntry>()
+    private val held = HashMap<String, Held>()
+    private val departedWorkers = HashMap<String, DepartedWorker>()
     private val deletionRevisions = HashMap<String, Long>()
     private val snapshotRevisions = HashMap<String, Long>()
     private val graceEndsAtMs = HashMap<String, Long>()
@@ -44,13 +61,18 @@
         snapshot: Collection<StoreEntry>,
         snapshotRevision: Long,
     ) {
+        // The store was away before it came back from a copy, even if no call of this host failed.
+        if (isFromLaterEra(snapshotRevision)) lastOutageEndMs = nowMs
         val snapshotKeys = snapshot.mapTo(HashSet()) { it.key }
+        held.values.removeIf { it.entry.key.startsWith(prefix) && it.entry.key !in snapshotKeys && it.entry.revision <= snapshotRevision }
         entries.values
             .filter { it.key.startsWith(prefix) && it.key !in snapshotKeys && it.revision <= snapshotRevision }
             .forEach { remove(nowMs, it.key, snapshotRevision) }
         // An entry that the latest snapshot so far lacked had been deleted by then, even if this host never saw the deletion.
         val previousSnapshotRevision = snapshotRevisions[prefix] ?: 0
-        snapshot.filter { it.key in entries || it.revision > previousSnapshotRevision }.forEach { put(it) }
+        snapshot.filter { it.key in entries || it.revision > previousSnapshotRevision }.forEach { entry ->
+            if (isFromOlderCopy(entry)) keepKnown(nowMs, entry) else put(entry)
+        }
         snapshotRevisions[prefix] = maxOf(previousSnapshotRevision, snapshotRevision)
         revision = maxOf(revision, snapshotRevision)
     }
@@ -77,10 +99,13 @@
         lastOutageEndMs = nowMs
     }
 
-    /** Removes the workers whose grace period ended before they wrote their entry again; returns whether there were any. */
+    /** Applies what was held back or kept for long enough without being written again; returns whether there was anything. */
     fun expireGracePeriods(nowMs: Long): Boolean {
         if (isStoreUnavailable) return false
-        return graceEndsAtMs.values.removeIf { nowMs >= it }
+        departedWorkers.values.removeIf { nowMs - it.atMs > MAX_COPY_AGE_MS }
+        val due = held.values.filter { nowMs >= it.untilMs }.map { it.entry }
+        due.forEach { put(it) }
+        return graceEndsAtMs.values.removeIf { nowMs >= it } || due.isNotEmpty()
     }
 
     /** Returns all entries, to be sent to a peer. */
@@ -102,7 +127,7 @@
             desired = desired?.value,
             workers = (workers.filterKeys { it in entries || it in graceEndsAtMs }).values.mapNotNull { it.value }.associateBy { it.id },
             evacuatedZones =
-                entries.keys
+                (entries.keys + graceEndsAtMs.keys)
                     .filter { it.startsWith(keys.evacuationPrefix) }
                     .mapTo(HashSet()) { AvailabilityZoneId(it.removePrefix(keys.evacuationPrefix)) },
         )
@@ -110,18 +135,61 @@
     private fun put(entry: StoreEntry) {
         val knownRevision = maxOf(entries[entry.key]?.revision ?: 0, deletionRevisions[entry.key] ?: 0)
         if (entry.revision <= knownRevision) return
-        entries[entry.key] = entry
         deletionRevisions.remove(entry.key)
         graceEndsAtMs.remove(entry.key)
-        if (entry.key == keys.desiredKey) desired = decodeDesiredState(desired, entry)
+        held.remove(entry.key)
+        departedWorkers.remove(entry.key)
+        if (entry.key == keys.desiredKey) return putDesiredState(entry)
+        entries[entry.key] = entry
         if (entry.key.startsWith(keys.workerPrefix)) workers[entry.key] = Decoded(entry.revision, decoder.worker(entry))
     }
 
-    /** Returns [previous] if [entry] cannot be decoded: an unreadable desired state never replaces a readable one. */
-    private fun decodeDesiredState(
-        previous: Decoded<DesiredState>?,
+    /** Applies a desired state. One that is unreadable or older never replaces a readable one, also not for peers that ask for it. */
+    private fun putDesiredState(entry: StoreEntry) {
+        val known = desired?.value
+        val decoded = decoder.desiredState(entry)
+        val isTaken = known == null || (decoded != null && decoded.version >= known.version)
+        val kept = entries[entry.key]
+        entries[entry.key] = if (isTaken || kept == null) entry else kept.copy(revision = entry.revision)
+        if (isTaken && decoded != null) desired = Decoded(entry.revision, decoded)
+    }
+
+    private fun isFromLaterEra(snapshotRevision: Long): Boolean = revision > 0 && eraOf(snapshotRevision) > eraOf(revision)
+
+    /** Returns whether [entry] of a snapshot may have been written before what is known of its key, as the store lost later writes. */
+    private fun isFromOlderCopy(entry: StoreEntry): Boolean {
+        val knownRevision = entries[entry.key]?.revision ?: deletionRevisions[entry.key] ?: return false
+        return when {
+            eraOf(entry.revision) <= eraOf(knownRevision) -> false
+            entry.key.startsWith(keys.evacuationPrefix) -> entry.key !in entries
+            entry.key.startsWith(keys.workerPrefix) -> isOlderStatement(entry)
+            else -> false
+        }
+    }
+
+    private fun isOlderStatement(entry: StoreEntry): Boolean {
+        val departed = departedWorkers[entry.key]?.worker
+        val known = workers[entry.key]?.value ?: departed ?: return false
+        val stated = decoder.worker(entry) ?: return false
+        return when {
+            stated.startedAtMs != known.startedAtMs -> stated.startedAtMs < known.startedAtMs
+            departed != null -> stated.sequence <= departed.sequence
+            else -> stated.sequence < known.sequence
+        }
+    }
+
+    /** Keeps what is known of the key of [entry] until it is written again. A key that was deleted is held back for a while only. */
+    private fun keepKnown(
+        nowMs: Long,
         entry: StoreEntry,
-    ): Decoded<DesiredState>? = decoder.desiredState(entry)?.let { Decoded(entry.revision, it) } ?: previous
+    ) {
+        val known = entries[entry.key]
+        if (known != null) {
+            entries[entry.key] = known.copy(revision = entry.revision)
+        } else if (held[entry.key]?.entry?.revision != entry.revision) {
+            held[entry.key] = Held(entry, nowMs + REWRITE_GRACE_MS)
+        }
+    }
 
     private fun remove(
         nowMs: Long,
@@ -129,23 +197,47 @@
         deletionRevision: Long,
     ) {
         val known = entries[key]
-        if (known == null || known.revision > deletionRevision) return
+        if (known == null || known.revision > deletionRevision) return removeHeld(key, deletionRevision)
+        val isLost = eraOf(deletionRevision) > eraOf(known.revision)
+        if (isLost && key == keys.desiredKey) return
         entries.remove(key)
+        held.remove(key)
         deletionRevisions[key] = deletionRevision
-        if (!key.startsWith(keys.workerPrefix)) return
+        if (isLost && key.startsWith(keys.evacuationPrefix)) graceEndsAtMs[key] = nowMs + REWRITE_GRACE_MS
+        if (key.startsWith(keys.workerPrefix)) removeWorker(nowMs, key)
+    }
+
+    private fun removeHeld(
+        key: String,
+        deletionRevision: Long,
+    ) {
+        if ((held[key]?.entry?.revision ?: Long.MAX_VALUE) <= deletionRevision) held.remove(key)
+        deletionRevisions.computeIfPresent(key) { _, earlier -> maxOf(earlier, deletionRevision) }
+    }
+
+    private fun removeWorker(
+        nowMs: Long,
+        key: String,
+    ) {
         val outageEndMs = lastOutageEndMs
         val mayHaveExpired = isStoreUnavailable || (outageEndMs != null && nowMs - outageEndMs < REREGISTRATION_GRACE_MS)
         val isDraining = workers[key]?.value?.isDraining ?: true
         if (mayHaveExpired && !isDraining) {
             graceEndsAtMs[key] = maxOf(outageEndMs ?: nowMs, nowMs - REREGISTRATION_GRACE_MS) + REREGISTRATION_GRACE_MS
         } else {
-            workers.remove(key)
+            workers.remove(key)?.value?.let { departedWorkers[key] = DepartedWorker(it, nowMs) }
         }
     }
 
     private companion object {
         /** Live workers write their entries again within two seconds after the store recovers. */
         const val REREGISTRATION_GRACE_MS = 2_000L
+
+        /** Time in which what a store lost is written again; entries of dead workers expire within it. */
+        const val REWRITE_GRACE_MS = 4_500L
+
+        /** A copy from which a store comes back is some seconds old. */
+        const val MAX_COPY_AGE_MS = 60_000L
         val json = Json { ignoreUnknownKeys = true }
     }
 }
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/PlainTextStateDecoder.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/PlainTextStateDecoder.kt
@@ -8,7 +8,10 @@
 import io.kumquatmill.traffic.model.DesiredState
 import io.kumquatmill.traffic.model.WorkerEntry
 
-/** Decodes test entries: a desired state is its version, a worker is "ready", "draining" or "broken", which cannot be decoded. */
+/**
+ * Decodes test entries: a desired state is its version. A worker is "ready" or "draining", optionally with its start time and the number of
+ * the entry ("ready/1/7"), or "broken", which cannot be decoded.
+ */
 internal object PlainTextStateDecoder : StateDecoder {
     override fun desiredState(entry: StoreEntry) =
         entry.value.toLongOrNull()?.let { DesiredState(it, emptyList(), emptyList(), emptyMap(), 1) }
@@ -23,10 +26,19 @@
                 address = HostAddress("10.0.0.1", 80),
                 availabilityZone = AvailabilityZoneId("z"),
                 slots = 1,
-                isDraining = entry.value == "draining",
+                isDraining = entry.value.startsWith("draining"),
                 warmUpRemainingMs = 0,
-                startedAtMs = 1,
+                startedAtMs =
+                    entry.value
+                        .split('/')
+                        .getOrNull(1)
+                        ?.toLong() ?: 1,
                 revision = entry.revision,
+                sequence =
+                    entry.value
+                        .split('/')
+                        .getOrNull(2)
+                        ?.toLong() ?: 0,
             )
         }
 }
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/PrefixWatcherTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/PrefixWatcherTest.kt
@@ -144,4 +144,24 @@
         reply(StoreReply.Changes(emptyList(), 7))
         assertEquals(usualWaitMs, assertIs<StoreCall.Watch>(pendingCalls.first().call).waitMs)
     }
+
+    @Test
+    fun `a snapshot is read again if the store came back from a copy and gave out the watched revision again`() {
+        watcher.start()
+        reply(StoreReply.Entries(emptyList(), revisionIn(1, 7)))
+        reply(StoreReply.Changes(listOf(StoreChange("p/a", "v", revisionIn(2, 9))), revisionIn(2, 9)))
+        assertEquals(StoreCall.ReadPrefix("p/"), pendingCalls.single().call)
+        reply(StoreReply.Entries(listOf(entry("p/b", revisionIn(2, 6))), revisionIn(2, 9)))
+        assertEquals(listOf("snapshot [] at ${revisionIn(1, 7)}", "snapshot [p/b] at ${revisionIn(2, 9)}"), events)
+        assertEquals(revisionIn(2, 9), assertIs<StoreCall.Watch>(pendingCalls.single().call).afterRevision)
+    }
+
+    @Test
+    fun `a snapshot whose pages are from before and after a restore is read again`() {
+        watcher.start()
+        reply(StoreReply.Entries(listOf(entry("p/a")), revisionIn(1, 7), hasMore = true))
+        reply(StoreReply.Entries(listOf(entry("p/b")), revisionIn(2, 6)))
+        assertEquals(emptyList(), events)
+        assertEquals(StoreCall.ReadPrefix("p/"), pendingCalls.single().call)
+    }
 }
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/StateCacheTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/StateCacheTest.kt
@@ -107,4 +107,104 @@
         delete("evacuate/z1", 4)
         assertEquals(emptySet(), cache.state().evacuatedZones)
     }
+
+    private fun snapshot(
+        nowMs: Long,
+        revision: Long,
+        vararg entries: StoreEntry,
+    ) = cache.onSnapshot(nowMs, "", entries.toList(), revision)
+
+    /** Revision that the store gives out as [number] after it came back from an older copy. */
+    private fun restored(number: Long) = revisionIn(era = 1, number = number)
+
+    @Test
+    fun `a version whose revision the store gives out again is applied, and an older one of its copy is not`() {
+        put("d", "7", 52)
+        snapshot(1_000, restored(51), StoreEntry("d", "5", restored(40)))
+        assertEquals(7, cache.state().desired?.version)
+        assertEquals("7", cache.allEntries().single().value, "peers get the newer version")
+        put("d", "8", restored(52))
+        assertEquals(8, cache.state().desired?.version)
+    }
+
+    @Test
+    fun `a version outlasts a copy that is older than the first version`() {
+        put("d", "7", 52)
+        snapshot(1_000, restored(20))
+        assertEquals(7, cache.state().desired?.version)
+        assertEquals("7", cache.allEntries().single().value)
+    }
+
+    @Test
+    fun `a worker that drained does not come back as ready from an older copy, until it writes again`() {
+        put("workers/a", "draining/1/9", 30)
+        snapshot(1_000, restored(25), StoreEntry("workers/a", "ready/1/8", restored(20)))
+        cache.expireGracePeriods(60_000)
+        assertEquals(true, cache.state().workers[WorkerId("a")]?.isDraining)
+        put("workers/a", "ready/2/1", restored(26))
+        assertEquals(false, cache.state().workers[WorkerId("a")]?.isDraining)
+    }
+
+    @Test
+    fun `a worker that left is used again only if the store still has its entry when entries of dead workers have expired`() {
+        put("workers/a", "ready/1/8", 20)
+        put("workers/b", "ready/1/8", 21)
+        delete("workers/a", 30)
+        delete("workers/b", 31)
+        val copy = arrayOf(StoreEntry("workers/a", "ready/1/8", restored(20)), StoreEntry("workers/b", "ready/1/8", restored(21)))
+        snapshot(1_000, restored(25), *copy)
+        assertEquals(emptySet(), workers())
+        delete("workers/a", restored(26), nowMs = 4_000)
+        cache.expireGracePeriods(6_000)
+        assertEquals(setOf("b"), workers())
+    }
+
+    @Test
+    fun `a worker that started again or said more since is used at once`() {
+        put("workers/a", "ready/1/8", 20)
+        put("workers/b", "ready/1/8", 21)
+        delete("workers/a", 30)
+        delete("workers/b", 31)
+        val written = arrayOf(StoreEntry("workers/a", "ready/2/1", restored(26)), StoreEntry("workers/b", "ready/1/9", restored(27)))
+        snapshot(1_000, restored(27), *written)
+        assertEquals(setOf("a", "b"), workers())
+    }
+
+    @Test
+    fun `a worker that an older copy lacks is kept for two seconds, in which a live worker writes its entry again`() {
+        put("workers/a", "ready", 30)
+        put("workers/b", "ready", 31)
+        snapshot(1_000, restored(25))
+        assertEquals(setOf("a", "b"), workers())
+        put("workers/a", "ready", restored(26), nowMs = 2_000)
+        cache.expireGracePeriods(3_000)
+        assertEquals(setOf("a"), workers())
+    }
+
+    @Test
+    fun `an evacuated zone that an older copy lacks stays evacuated until the operator had time to write it again`() {
+        put("evacuate/z1", "{}", 30)
+        snapshot(1_000, restored(25))
+        cache.expireGracePeriods(5_000)
+        assertEquals(setOf(AvailabilityZoneId("z1")), cache.state().evacuatedZones)
+        cache.expireGracePeriods(5_500)
+        assertEquals(emptySet(), cache.state().evacuatedZones)
+    }
+
+    @Test
+    fun `a zone that was taken back is not evacuated by an older copy, unless the store keeps it`() {
+        put("evacuate/z1", "{}", 20)
+        delete("evacuate/z1", 30)
+        snapshot(1_000, restored(25), StoreEntry("evacuate/z1", "{}", restored(20)))
+        assertEquals(emptySet(), cache.state().evacuatedZones)
+        cache.expireGracePeriods(5_500)
+        assertEquals(setOf(AvailabilityZoneId("z1")), cache.state().evacuatedZones)
+    }
+
+    @Test
+    fun `a late snapshot from before a restore changes nothing`() {
+        snapshot(1_000, restored(25), StoreEntry("d", "7", restored(24)), StoreEntry("workers/a", "ready", restored(25)))
+        snapshot(1_100, 90, StoreEntry("workers/b", "ready", 80))
+        assertEquals(setOf("a"), workers())
+    }
 }
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/StoreSimulationTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/StoreSimulationTest.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import io.kumquatmill.common.id.WorkerId
 import io.kumquatmill.store.StoreCall
 import io.kumquatmill.store.StoreChange
 import io.kumquatmill.store.StoreEntry
@@ -12,11 +13,13 @@
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 
 /**
  * Simulates random schedules of a store that fails, responds late or never, compacts its history and returns entries in pages, while
- * operators and workers write and the cache also loads snapshots of peers. Guards against a host that ends with a state other than
- * the store's, returns to an older version, or calls the store too often. `-Dkumquatmill.seed=N` sets another
+ * operators and workers write and the cache also loads snapshots of peers. The store may come back from an older copy; what it lost is then
+ * written again. Guards against a host that ends with a state other than the store's, returns to an older version, uses a worker that has
+ * left or drains, sends to an evacuated zone, or calls the store too often. `-Dkumquatmill.seed=N` sets another
  * first seed.
  */
 class StoreSimulationTest {
@@ -26,14 +29,36 @@
     private class SimulatedStore {
         val entries = sortedMapOf<String, StoreEntry>()
         val history = ArrayList<StoreChange>()
-        var revision = 1L
+        var number = 1L
+        var era = 1L
         var compactedRevision = 0L
+        private var copiedEntries = emptyMap<String, StoreEntry>()
+        private var copiedNumber = 1L
+
+        val revision
+            get() = revisionIn(era, number)
+
+        fun saveCopy() {
+            copiedEntries = entries.toMap()
+            copiedNumber = number
+        }
+
+        /** Returns the keys whose entries differ from those before the restore. */
+        fun restore(): List<String> {
+            val lost = (entries.keys + copiedEntries.keys).filter { entries[it]?.revision != copiedEntries[it]?.revision }
+            era++
+            number = copiedNumber
+            entries.clear()
+            copiedEntries.values.forEach { entries[it.key] = it.copy(revision = revisionIn(era, numberOf(it.revision))) }
+            compact()
+            return lost
+        }
 
         fun write(
             key: String,
             value: String?,
         ) {
-            revision++
+            number++
             if (value == null) entries.remove(key) else entries[key] = StoreEntry(key, value, revision)
             history += StoreChange(key, value, revision)
         }
@@ -48,6 +73,9 @@
         seed: Long,
     ) : StoreListener {
         private val random = Random(seed)
+
+        /** What each worker last said, whether or not the store still has it. */
+        private val workers = HashMap<String, String>()
         private val store = SimulatedStore()
         private val tasks = PriorityQueue<Triple<Long, Long, () -> Unit>>(compareBy({ it.first }, { it.second }))
         private var scheduledTaskCount = 0L
@@ -57,6 +85,14 @@
         private val cache = StateCache(keys, PlainTextStateDecoder)
         private var version = 0L
         private var lastVersion = 0L
+        var restores = 0
+        private val evacuated = HashSet<String>()
+        private var shownZones = emptySet<String>()
+        private val takenBack = HashSet<String>()
+        private val leftProcesses = HashSet<Pair<WorkerId, Long>>()
+        private val vanishedProcesses = HashSet<Pair<WorkerId, Long>>()
+        private val drainingProcesses = HashSet<Pair<WorkerId, Long>>()
+        private var usedProcesses = emptySet<Pair<WorkerId, Long>>()
         val violations = ArrayList<String>()
         private val callTimesMs = ArrayList<Long>()
         private val watcher = PrefixWatcher("", ::send, ::runAfter, this, Random(seed + 1), batchDelayMs = { 300 })
@@ -86,7 +122,7 @@
             if (nowMs >= FAULTS_END_MS) return store.write("d", "${++version}")
             when (random.nextInt(8)) {
                 0 -> store.write("d", "${++version}")
-                1 -> store.write("evacuate/z${random.nextInt(3)}", if (random.nextBoolean()) "x" else null)
+                1 -> writeEvacuation("z${random.nextInt(3)}", random.nextBoolean())
                 2 -> store.write("d", "not readable")
                 3 -> if (random.nextInt(4) == 0) store.compact()
                 4 ->
@@ -96,21 +132,69 @@
                     }
                 5 -> if (random.nextInt(4) == 0) loadSnapshotFromPeer()
                 else -> {
-                    val key = "workers/w${random.nextInt(6)}"
-                    store.write(key, listOf("ready", "draining", null).random(random))
+                    writeWorker("workers/w${random.nextInt(6)}")
                 }
             }
-            cache.expireGracePeriods(nowMs)
+            if (random.nextInt(40) == 0) store.saveCopy()
+            if (random.nextInt(120) == 0) restoreStore()
+            if (cache.expireGracePeriods(nowMs)) checkState()
             runAfter(100) { performRandomOperations() }
         }
 
+        private fun writeEvacuation(
+            zone: String,
+            isEvacuated: Boolean,
+        ) {
+            if (isEvacuated) evacuated += zone else evacuated -= zone
+            if (!isEvacuated && zone in shownZones) takenBack += zone
+            store.write("evacuate/$zone", if (isEvacuated) "x" else null)
+        }
+
+        /** Writes the next entry of a worker, which becomes ready, drains, leaves and starts again. */
+        private fun writeWorker(key: String) {
+            val (state, startedAt, sequence) = (workers[key] ?: "gone/$nowMs/0").split('/')
+            val next =
+                when {
+                    state == "gone" -> "ready/$nowMs/1"
+                    random.nextBoolean() -> "$state/$startedAt/${sequence.toLong() + 1}"
+                    state == "ready" -> "draining/$startedAt/${sequence.toLong() + 1}"
+                    else -> null
+                }
+            if (next == null) leftProcesses += WorkerId(key.removePrefix("workers/")) to startedAt.toLong()
+            if (next == null) workers.remove(key) else workers[key] = next
+            store.write(key, next)
+        }
+
+        /** Restores the store from its copy. Operators and workers write again what it lost, within two seconds. */
+        private fun restoreStore() {
+            restores++
+            unavailableUntilMs = minOf(FAULTS_END_MS, nowMs + 300)
+            store.restore().forEach { key ->
+                runAfter(random.nextLong(0, 2_000)) {
+                    when {
+                        key.startsWith("workers/") -> rewriteWorker(key)
+                        key == "d" -> store.write("d", "$version")
+                        else -> key.removePrefix("evacuate/").let { zone -> writeEvacuation(zone, zone in evacuated) }
+                    }
+                }
+            }
+        }
+
+        private fun rewriteWorker(key: String) {
+            workers[key]?.let { workers[key] = nextStatement(it) }
+            store.write(key, workers[key])
+        }
+
+        private fun nextStatement(value: String): String =
+            value.split('/').let { (state, startedAt, sequence) -> "$state/$startedAt/${sequence.toLong() + 1}" }
+
         /** Loads the current entries through a peer, which arrive up to 500 ms later. */
         private fun loadSnapshotFromPeer() {
             val entries = store.entries.values.toList()
             val revision = store.revision
             runAfter(random.nextLong(0, 500)) {
                 cache.onSnapshot(nowMs, "", entries, revision)
-                checkVersion()
+                checkState()
             }
         }
 
@@ -151,10 +235,12 @@
                     runAfter(delayMs) { onResult(reply.right()) }
                 }
                 is StoreCall.Watch -> {
-                    val changes = store.history.filter { it.revision > call.afterRevision }
+                    // A store knows numbers only: the watch may go on from one that was given out again.
+                    val after = numberOf(call.afterRevision)
+                    val changes = store.history.filter { numberOf(it.revision) > after }
                     val revision = store.revision
                     when {
-                        call.afterRevision < store.compactedRevision ->
+                        after < numberOf(store.compactedRevision) || after > store.number ->
                             runAfter(delayMs) { onResult(StoreError.HistoryGone(call.afterRevision).left()) }
                         changes.isNotEmpty() || nowMs >= untilMs ->
                             runAfter(delayMs) { onResult(StoreReply.Changes(changes, revision).right()) }
@@ -171,12 +257,12 @@
             revision: Long,
         ) {
             cache.onSnapshot(nowMs, prefix, entries, revision)
-            checkVersion()
+            checkState()
         }
 
         override fun onChanges(changes: List<StoreChange>) {
             cache.onChanges(nowMs, changes)
-            checkVersion()
+            checkState()
         }
 
         override fun onFailure(
@@ -190,6 +276,31 @@
             failures: Int,
         ) = cache.onOutageEnd(nowMs)
 
+        private fun checkState() {
+            val workers = cache.state().workers.values
+            val processes = workers.mapTo(HashSet()) { it.id to it.startedAtMs }
+            vanishedProcesses += usedProcesses - processes
+            usedProcesses = processes
+            workers.filter { it.isDraining }.forEach { drainingProcesses += it.id to it.startedAtMs }
+            val usable = workers.filterNot { it.isDraining }.map { it.id to it.startedAtMs }
+            usable.filter { it in leftProcesses && it in vanishedProcesses }.forEach {
+                violations +=
+                    "at $nowMs ms: $it in use again after it had left"
+            }
+            usable.filter { it in drainingProcesses }.forEach { violations += "at $nowMs ms: $it in use again after it drained" }
+            checkEvacuatedZones()
+            checkVersion()
+        }
+
+        /** A zone that was shown as evacuated stays so until the operator takes it back, whatever the store has lost. */
+        private fun checkEvacuatedZones() {
+            val shown = cache.state().evacuatedZones.mapTo(HashSet()) { it.value }
+            val missing = shownZones.filter { it in evacuated && it !in takenBack && it !in shown }
+            takenBack.retainAll(shown)
+            if (missing.isNotEmpty()) violations += "at $nowMs ms: zones $missing not evacuated any more"
+            shownZones = shown
+        }
+
         private fun checkVersion() {
             val seenVersion = cache.state().desired?.version ?: 0
             if (seenVersion < lastVersion) violations += "at $nowMs ms: version $seenVersion after $lastVersion"
@@ -210,7 +321,7 @@
             ) {
                 violations += "workers ${state.workers.keys}, expected $workers"
             }
-            val drainingCount = store.entries.filter { it.key.startsWith("workers/") && it.value.value == "draining" }.size
+            val drainingCount = store.entries.filter { it.key.startsWith("workers/") && it.value.value.startsWith("draining") }.size
             if (state.workers.values.count { it.isDraining } != drainingCount) violations += "draining workers differ from $drainingCount"
             val zones =
                 store.entries.keys
@@ -224,6 +335,12 @@
         }
     }
 
+    @Test
+    fun `the store comes back from an older copy in most schedules`() {
+        val restores = (1L..SEEDS).sumOf { seed -> Simulation(seed).apply { run() }.restores }
+        assertTrue(restores >= SEEDS, "expected a restore in a schedule on average, found $restores in $SEEDS")
+    }
+
     @Test
     fun `a host converges to the state of the store, never goes back and limits its calls`() {
         val firstSeed = System.getProperty("kumquatmill.seed")?.toLong()
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/model/WorkerEntry.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/model/WorkerEntry.kt
@@ -12,6 +12,7 @@
  * @property warmUpRemainingMs remaining time in milliseconds for which the worker is cold, as of when it wrote the entry
  * @property startedAtMs Unix time of the worker's start in milliseconds; another value under the same id means a restart
  * @property revision store revision of the entry; a higher one is newer
+ * @property sequence number of the entry among those that this process of the worker has written; a higher one is newer
  */
 data class WorkerEntry(
     val id: WorkerId,
@@ -23,4 +24,5 @@
     val warmUpRemainingMs: Long,
     val startedAtMs: Long,
     val revision: Long,
+    val sequence: Long = 0,
 )
