Wait until a restored store has confirmed what it may have lost

What is held back or kept now ends with an answer of the store after its time; watches are answered within a second meanwhile. - A zone that was evacuated again in the lost seconds was held back with the copy's mark. In doubt a zone counts as evacuated.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
@@ -87,7 +87,16 @@
     private val stateUpdater = StateUpdater(cache, controller, clock, log) { openCallerListener() }
     private val watchers =
         adapter.stateKeys.watchedPrefixes.map {
-            PrefixWatcher(it, sendStoreCall, ::runAfter, stateUpdater, random, controller::changeBatchMs, storeClient::isConnected)
+            PrefixWatcher(
+                it,
+                sendStoreCall,
+                ::runAfter,
+                stateUpdater,
+                random,
+                controller::changeBatchMs,
+                storeClient::isConnected,
+                cache::isSettling,
+            )
         }
     private val registration =
         HostRegistration(
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/StateUpdater.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/StateUpdater.kt
@@ -40,6 +40,8 @@
         applyState("store")
     }
 
+    override fun onAnswered() = cache.onStoreAnswered(clock.nowMs())
+
     override fun onFailure(
         prefix: String,
         error: StoreError,
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/PrefixWatcher.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/PrefixWatcher.kt
@@ -23,6 +23,7 @@
  * @param batchDelayMs returns the time in milliseconds for which changes are collected before the next watch: they come in bursts, and
  * each call is charged for
  * @param isConnected returns whether the next call goes over a connection on which the store has answered before
+ * @param isSettling returns whether the listener waits for the store to confirm what it may have lost
  */
 class PrefixWatcher(
     private val prefix: String,
@@ -32,7 +33,7 @@
     private val random: Random,
     private val batchDelayMs: () -> Long,
     private val isConnected: () -> Boolean = { true },
-    private val watchWaitMs: Long = WATCH_WAIT_MS,
+    private val isSettling: () -> Boolean = { false },
 ) {
     private var revision: Long? = null
     private var failures = 0
@@ -73,15 +74,13 @@
         onSucceeded()
         revision = snapshotRevision
         listener.onSnapshot(prefix, entries, snapshotRevision)
+        listener.onAnswered()
         if (needsWatch) watch()
     }
 
     private fun watch() {
         val afterRevision = revision ?: return readSnapshot()
-        // The store may never respond to a call that is sent during an outage; a long wait would then delay recovery after the outage.
-        // A store that came back from an older copy closed the connection, and may wait for changes after a revision given out again.
-        val waitMs = if (failures > 0 || !isConnected()) min(watchWaitMs, PROBE_WATCH_WAIT_MS) else watchWaitMs
-        sendGuarded(StoreCall.Watch(prefix, afterRevision, waitMs)) { result ->
+        sendGuarded(StoreCall.Watch(prefix, afterRevision, watchWaitMs())) { result ->
             result.fold({ error ->
                 if (error is StoreError.HistoryGone) {
                     revision = null
@@ -98,8 +97,9 @@
                     return@fold readSnapshot()
                 }
                 revision = maxOf(revision ?: 0, changes.revision)
+                if (changes.changes.isNotEmpty()) listener.onChanges(changes.changes)
+                listener.onAnswered()
                 if (changes.changes.isNotEmpty()) {
-                    listener.onChanges(changes.changes)
                     runAfter(batchDelayMs()) { watch() }
                 } else {
                     watch()
@@ -108,6 +108,16 @@
         }
     }
 
+    private fun watchWaitMs(): Long =
+        when {
+            // The store may never respond to a call that is sent during an outage; a long wait would then delay recovery after the outage.
+            failures > 0 -> PROBE_WATCH_WAIT_MS
+            // A store that came back from an older copy closed the connection, and may wait for changes after a revision given out again.
+            !isConnected() -> PROBE_WATCH_WAIT_MS
+            isSettling() -> SETTLING_WATCH_WAIT_MS
+            else -> WATCH_WAIT_MS
+        }
+
     /** Sends [call]. If handling the result fails unexpectedly, a new snapshot is read later: the watch must not end silently. */
     @Suppress("TooGenericExceptionCaught")
     private fun sendGuarded(
@@ -144,6 +154,9 @@
         /** Wait of a watch while the service is considered unavailable. */
         const val PROBE_WATCH_WAIT_MS = 200L
 
+        /** Wait of a watch while the store has to confirm what it may have lost. */
+        const val SETTLING_WATCH_WAIT_MS = 1_000L
+
         const val INITIAL_BACKOFF_MS = 100L
         const val MAX_BACKOFF_MS = 800L
         const val MAX_BACKOFF_DOUBLINGS = 4
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StateCache.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StateCache.kt
@@ -14,8 +14,8 @@
  *
  * A store that came back from an older copy lacks what was written last until operators and workers write it again, and has what was
  * deleted. The desired state never goes back to an older version, and a worker's entry never to an older statement of the same process.
- * The entry of a worker that has left, and the mark of a zone that is no longer evacuated, are held back for a while: they apply if the
- * store still has them then. The mark of an evacuated zone that is missing is kept for as long.
+ * The entry of a worker that has left is held back for a while: it applies if the store still has it then. The mark of an evacuated zone
+ * that is missing is kept for as long.
  *
  * When a worker's entry disappears during or shortly after a store outage, its lease may have expired although the worker is alive.
  * The worker is kept for a grace period after the store recovers, in which a live worker writes its entry again.
@@ -49,6 +49,7 @@
     private var desired: Decoded<DesiredState>? = null
     private var lastOutageEndMs: Long? = null
     private var isStoreUnavailable = false
+    private var storeAnsweredAtMs: Long? = null
 
     /** Highest store revision that was applied. */
     var revision: Long = 0
@@ -61,8 +62,7 @@
         snapshot: Collection<StoreEntry>,
         snapshotRevision: Long,
     ) {
-        // The store was away before it came back from a copy, even if no call of this host failed.
-        if (isFromLaterEra(snapshotRevision)) lastOutageEndMs = nowMs
+        if (isFromLaterEra(snapshotRevision)) onRestored(nowMs)
         val snapshotKeys = snapshot.mapTo(HashSet()) { it.key }
         held.values.removeIf { it.entry.key.startsWith(prefix) && it.entry.key !in snapshotKeys && it.entry.revision <= snapshotRevision }
         entries.values
@@ -99,15 +99,36 @@
         lastOutageEndMs = nowMs
     }
 
+    /** Records that the store has answered, and that its changes until then were applied. */
+    fun onStoreAnswered(nowMs: Long) {
+        storeAnsweredAtMs = nowMs
+    }
+
     /** Applies what was held back or kept for long enough without being written again; returns whether there was anything. */
     fun expireGracePeriods(nowMs: Long): Boolean {
         if (isStoreUnavailable) return false
         departedWorkers.values.removeIf { nowMs - it.atMs > MAX_COPY_AGE_MS }
-        val due = held.values.filter { nowMs >= it.untilMs }.map { it.entry }
+        val due = held.values.filter { isConfirmedSince(it.untilMs) }.map { it.entry }
         due.forEach { put(it) }
-        return graceEndsAtMs.values.removeIf { nowMs >= it } || due.isNotEmpty()
+        val expired =
+            graceEndsAtMs
+                .filter { (key, endMs) ->
+                    if (key.startsWith(keys.workerPrefix)) nowMs >= endMs else isConfirmedSince(endMs)
+                }.keys
+        expired.forEach { key ->
+            graceEndsAtMs.remove(key)
+            depart(nowMs, key)
+        }
+        return expired.isNotEmpty() || due.isNotEmpty()
     }
 
+    /** Whether something is held back or kept that the store has to confirm. */
+    val isSettling: Boolean
+        get() = held.isNotEmpty() || graceEndsAtMs.isNotEmpty()
+
+    /** Returns whether the store has answered since [timeMs]; a host that has not heard of it may have missed what was written again. */
+    private fun isConfirmedSince(timeMs: Long): Boolean = (storeAnsweredAtMs ?: return false) >= timeMs
+
     /** Returns all entries, to be sent to a peer. */
     fun allEntries(): List<StoreEntry> = entries.values.toList()
 
@@ -154,6 +175,15 @@
         if (isTaken && decoded != null) desired = Decoded(entry.revision, decoded)
     }
 
+    /** Records that the store came back from a copy: it was away before, even if no call of this host failed. */
+    private fun onRestored(nowMs: Long) {
+        lastOutageEndMs = nowMs
+        graceEndsAtMs.replaceAll { key, endMs ->
+            val graceMs = if (key.startsWith(keys.workerPrefix)) REREGISTRATION_GRACE_MS else REWRITE_GRACE_MS
+            maxOf(endMs, nowMs + graceMs)
+        }
+    }
+
     private fun isFromLaterEra(snapshotRevision: Long): Boolean = revision > 0 && eraOf(snapshotRevision) > eraOf(revision)
 
     /** Returns whether [entry] of a snapshot may have been written before what is known of its key, as the store lost later writes. */
@@ -161,7 +191,6 @@
         val knownRevision = entries[entry.key]?.revision ?: deletionRevisions[entry.key] ?: return false
         return when {
             eraOf(entry.revision) <= eraOf(knownRevision) -> false
-            entry.key.startsWith(keys.evacuationPrefix) -> entry.key !in entries
             entry.key.startsWith(keys.workerPrefix) -> isOlderStatement(entry)
             else -> false
         }
@@ -225,10 +254,17 @@
         if (mayHaveExpired && !isDraining) {
             graceEndsAtMs[key] = maxOf(outageEndMs ?: nowMs, nowMs - REREGISTRATION_GRACE_MS) + REREGISTRATION_GRACE_MS
         } else {
-            workers.remove(key)?.value?.let { departedWorkers[key] = DepartedWorker(it, nowMs) }
+            depart(nowMs, key)
         }
     }
 
+    private fun depart(
+        nowMs: Long,
+        key: String,
+    ) {
+        workers.remove(key)?.value?.let { departedWorkers[key] = DepartedWorker(it, nowMs) }
+    }
+
     private companion object {
         /** Live workers write their entries again within two seconds after the store recovers. */
         const val REREGISTRATION_GRACE_MS = 2_000L
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StoreListener.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StoreListener.kt
@@ -16,6 +16,9 @@
     /** Called with [changes] in the order of their revisions. */
     fun onChanges(changes: List<StoreChange>)
 
+    /** Called when the store has answered, with or without changes, after they were passed on. */
+    fun onAnswered()
+
     /** Called when a store call fails; [failures] is the number of consecutive failures. */
     fun onFailure(
         prefix: String,
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/StateCacheTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/StateCacheTest.kt
@@ -155,10 +155,25 @@
         snapshot(1_000, restored(25), *copy)
         assertEquals(emptySet(), workers())
         delete("workers/a", restored(26), nowMs = 4_000)
+        cache.onStoreAnswered(4_000)
+        cache.expireGracePeriods(6_000)
+        assertEquals(emptySet(), workers(), "the store may have written since what this host has not read")
+        cache.onStoreAnswered(6_000)
         cache.expireGracePeriods(6_000)
         assertEquals(setOf("b"), workers())
     }
 
+    @Test
+    fun `a worker that did not return after an outage is not used again because an older copy has its entry`() {
+        put("workers/a", "ready/1/8", 20)
+        cache.onOutage()
+        delete("workers/a", 30, nowMs = 500)
+        cache.onOutageEnd(1_000)
+        cache.expireGracePeriods(3_000)
+        snapshot(4_000, restored(25), StoreEntry("workers/a", "ready/1/8", restored(20)))
+        assertEquals(emptySet(), workers())
+    }
+
     @Test
     fun `a worker that started again or said more since is used at once`() {
         put("workers/a", "ready/1/8", 20)
@@ -188,17 +203,30 @@
         cache.expireGracePeriods(5_000)
         assertEquals(setOf(AvailabilityZoneId("z1")), cache.state().evacuatedZones)
         cache.expireGracePeriods(5_500)
+        assertEquals(setOf(AvailabilityZoneId("z1")), cache.state().evacuatedZones, "the store has not answered since")
+        cache.onStoreAnswered(5_500)
+        cache.expireGracePeriods(5_500)
         assertEquals(emptySet(), cache.state().evacuatedZones)
     }
 
     @Test
-    fun `a zone that was taken back is not evacuated by an older copy, unless the store keeps it`() {
+    fun `the time to write a mark again starts anew with a second restore`() {
+        put("evacuate/z1", "{}", 30)
+        snapshot(1_000, restored(25))
+        snapshot(5_000, revisionIn(era = 2, number = 25))
+        cache.onStoreAnswered(9_000)
+        cache.expireGracePeriods(9_000)
+        assertEquals(setOf(AvailabilityZoneId("z1")), cache.state().evacuatedZones)
+    }
+
+    @Test
+    fun `a zone that was taken back is evacuated while an older copy says so, as it may have been evacuated again`() {
         put("evacuate/z1", "{}", 20)
         delete("evacuate/z1", 30)
         snapshot(1_000, restored(25), StoreEntry("evacuate/z1", "{}", restored(20)))
-        assertEquals(emptySet(), cache.state().evacuatedZones)
-        cache.expireGracePeriods(5_500)
         assertEquals(setOf(AvailabilityZoneId("z1")), cache.state().evacuatedZones)
+        delete("evacuate/z1", restored(26))
+        assertEquals(emptySet(), cache.state().evacuatedZones)
     }
 
     @Test
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/StoreSimulationTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/StoreSimulationTest.kt
@@ -25,50 +25,6 @@
 class StoreSimulationTest {
     private val keys = StateKeys("d", "evacuate/", "workers/", "hosts/", listOf(""))
 
-    /** The entries of the store and their history since [compactedRevision]. */
-    private class SimulatedStore {
-        val entries = sortedMapOf<String, StoreEntry>()
-        val history = ArrayList<StoreChange>()
-        var number = 1L
-        var era = 1L
-        var compactedRevision = 0L
-        private var copiedEntries = emptyMap<String, StoreEntry>()
-        private var copiedNumber = 1L
-
-        val revision
-            get() = revisionIn(era, number)
-
-        fun saveCopy() {
-            copiedEntries = entries.toMap()
-            copiedNumber = number
-        }
-
-        /** Returns the keys whose entries differ from those before the restore. */
-        fun restore(): List<String> {
-            val lost = (entries.keys + copiedEntries.keys).filter { entries[it]?.revision != copiedEntries[it]?.revision }
-            era++
-            number = copiedNumber
-            entries.clear()
-            copiedEntries.values.forEach { entries[it.key] = it.copy(revision = revisionIn(era, numberOf(it.revision))) }
-            compact()
-            return lost
-        }
-
-        fun write(
-            key: String,
-            value: String?,
-        ) {
-            number++
-            if (value == null) entries.remove(key) else entries[key] = StoreEntry(key, value, revision)
-            history += StoreChange(key, value, revision)
-        }
-
-        fun compact() {
-            compactedRevision = revision
-            history.clear()
-        }
-    }
-
     private inner class Simulation(
         seed: Long,
     ) : StoreListener {
@@ -95,7 +51,8 @@
         private var usedProcesses = emptySet<Pair<WorkerId, Long>>()
         val violations = ArrayList<String>()
         private val callTimesMs = ArrayList<Long>()
-        private val watcher = PrefixWatcher("", ::send, ::runAfter, this, Random(seed + 1), batchDelayMs = { 300 })
+        private val watcher =
+            PrefixWatcher("", ::send, ::runAfter, this, Random(seed + 1), batchDelayMs = { 300 }, isSettling = { cache.isSettling })
 
         fun run(): List<String> {
             watcher.start()
@@ -235,13 +192,10 @@
                     runAfter(delayMs) { onResult(reply.right()) }
                 }
                 is StoreCall.Watch -> {
-                    // A store knows numbers only: the watch may go on from one that was given out again.
-                    val after = numberOf(call.afterRevision)
-                    val changes = store.history.filter { numberOf(it.revision) > after }
+                    val changes = store.changesAfter(call.afterRevision)
                     val revision = store.revision
                     when {
-                        after < numberOf(store.compactedRevision) || after > store.number ->
-                            runAfter(delayMs) { onResult(StoreError.HistoryGone(call.afterRevision).left()) }
+                        changes == null -> runAfter(delayMs) { onResult(StoreError.HistoryGone(call.afterRevision).left()) }
                         changes.isNotEmpty() || nowMs >= untilMs ->
                             runAfter(delayMs) { onResult(StoreReply.Changes(changes, revision).right()) }
                         else -> runAfter(WATCH_POLL_MS) { respond(call, untilMs, onResult) }
@@ -265,6 +219,8 @@
             checkState()
         }
 
+        override fun onAnswered() = cache.onStoreAnswered(nowMs)
+
         override fun onFailure(
             prefix: String,
             error: StoreError,
@@ -279,11 +235,11 @@
         private fun checkState() {
             val workers = cache.state().workers.values
             val processes = workers.mapTo(HashSet()) { it.id to it.startedAtMs }
-            vanishedProcesses += usedProcesses - processes
+            vanishedProcesses += (usedProcesses - processes).filter { it in leftProcesses }
             usedProcesses = processes
             workers.filter { it.isDraining }.forEach { drainingProcesses += it.id to it.startedAtMs }
             val usable = workers.filterNot { it.isDraining }.map { it.id to it.startedAtMs }
-            usable.filter { it in leftProcesses && it in vanishedProcesses }.forEach {
+            usable.filter { it in vanishedProcesses }.forEach {
                 violations +=
                     "at $nowMs ms: $it in use again after it had left"
             }
