Let a host that starts beside a restored store take a newer version from its peers

What callers could see: a key that was withdrawn is accepted again. Cause: a host that starts while the restored store has an older version has no memory of the newer one, and its peers told it their revision only, which is not higher.

Change: reports carry the version in effect. A host that lacks a version for longer than changes take fetches the state of a peer that has it, and takes the desired state whatever its revision is; versions only rise.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
@@ -21,7 +21,7 @@
 
 /**
  * Exchanges state with the other hosts: sends a report every few hundred milliseconds, and fetches the store entries of a peer
- * that has a newer revision.
+ * that has a newer revision or version: a host that starts while a restored store has an older version does not get the newer one there.
  *
  * A host whose store calls are rejected still learns of changes this way, within about a second.
  */
@@ -41,6 +41,7 @@
     private val incarnation = System.currentTimeMillis()
     private var sequence = 0L
     private val lag = RevisionLag { controller.changeBatchMs() + CHANGE_LATENCY_MS }
+    private val versionLag = RevisionLag { controller.changeBatchMs() + CHANGE_LATENCY_MS }
     private val incarnationByPeer = HashMap<String, Long>()
     private var isFetching = false
     private var nextSeedIndex = 0
@@ -86,6 +87,7 @@
                 availabilityZone = self.availabilityZone,
                 storeRevision = cache.revision,
                 isServing = isServing(),
+                version = controller.version,
                 demandPerS = controller.demandPerS(nowMs),
                 sharesPerMille = controller.sharesPerMille(),
                 workerLimits = controller.workerLimits(nowMs),
@@ -135,11 +137,14 @@
     private fun catchUp() {
         if (isFetching) return
         val nowMs = clock.nowMs()
-        val newestPeer = controller.livePeers(nowMs).maxByOrNull { it.storeRevision }
+        val livePeers = controller.livePeers(nowMs)
+        val newestPeer = livePeers.maxByOrNull { it.storeRevision }
         val isLagging = lag.isLagging(nowMs, cache.revision, newestPeer?.storeRevision ?: 0)
+        val newestVersionPeer = livePeers.maxByOrNull { it.version ?: 0 }
+        val isVersionLagging = versionLag.isLagging(nowMs, controller.version ?: 0, newestVersionPeer?.version ?: 0)
         when {
-            isLagging && newestPeer != null ->
-                fetchState(HostAddress(newestPeer.ip, settings.peerStateAddress.port), newestPeer.host)
+            isLagging && newestPeer != null -> fetchState(newestPeer)
+            isVersionLagging && newestVersionPeer != null -> fetchState(newestVersionPeer)
             !controller.isReady && stateUpdater.isStoreUnavailable && settings.seeds.isNotEmpty() -> {
                 val seed = settings.seeds[nextSeedIndex++ % settings.seeds.size]
                 if (seed.ip != settings.self.ip) fetchState(seed, seed.toString())
@@ -147,6 +152,8 @@
         }
     }
 
+    private fun fetchState(peer: PeerReport) = fetchState(HostAddress(peer.ip, settings.peerStateAddress.port), peer.host)
+
     private fun fetchState(
         address: HostAddress,
         peerName: String,
@@ -179,8 +186,11 @@
     ) {
         try {
             val state = json.decodeFromString(PeerState.serializer(), String(response.body))
-            if (response.status == OK && state.revision > cache.revision) {
+            if (response.status != OK) return
+            if (state.revision > cache.revision) {
                 stateUpdater.onPeerState(peerName, watchedPrefixes, state.entries, state.revision)
+            } else {
+                stateUpdater.onPeerDesiredState(peerName, state.entries)
             }
         } catch (e: SerializationException) {
             log.warn("cannot decode state fetched from peer", "peer" to peerName, "detail" to e.message)
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/StateUpdater.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/StateUpdater.kt
@@ -69,10 +69,19 @@
         revision: Long,
     ) {
         prefixes.forEach { prefix -> cache.onSnapshot(clock.nowMs(), prefix, entries.filter { it.key.startsWith(prefix) }, revision) }
+        cache.onPeerDesiredState(entries)
         log.info("snapshot fetched from peer", "peer" to peer, "revision" to describeRevision(revision))
         applyState(peer)
     }
 
+    /** Applies the desired state among the [entries] of [peer] if it is newer than the own one. */
+    fun onPeerDesiredState(
+        peer: String,
+        entries: List<StoreEntry>,
+    ) {
+        if (cache.onPeerDesiredState(entries)) applyState(peer)
+    }
+
     /** Removes workers whose grace period has ended; must be called several times per second. */
     fun tick(nowMs: Long) {
         if (cache.expireGracePeriods(nowMs)) applyState("time")
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/ReportFrame.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/ReportFrame.kt
@@ -17,6 +17,7 @@
     @SerialName("s") val isServing: Boolean,
     @SerialName("w") val workspaces: WorkspaceColumns,
     @SerialName("p") val stalePeers: List<String>,
+    @SerialName("d") val version: Long? = null,
     @SerialName("l") val workerLimits: WorkerLimitColumns = WorkerLimitColumns(),
 ) {
     fun toReport() =
@@ -29,6 +30,7 @@
             availabilityZone = availabilityZone,
             storeRevision = storeRevision,
             isServing = isServing,
+            version = version,
             demandPerS = workspaces.demandPerS(),
             sharesPerMille = workspaces.sharesPerMille(),
             workerLimits = workerLimits.toObservations(),
@@ -48,6 +50,7 @@
                 isServing = report.isServing,
                 workspaces = WorkspaceColumns.of(report),
                 stalePeers = report.stalePeers,
+                version = report.version,
                 workerLimits = WorkerLimitColumns.of(report.workerLimits),
             )
     }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StateCache.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StateCache.kt
@@ -26,7 +26,7 @@
 ) {
     private class Decoded<T>(
         val revision: Long,
-        val value: T?,
+        val value: T,
     )
 
     private class Held(
@@ -45,7 +45,7 @@
     private val deletionRevisions = HashMap<String, Long>()
     private val snapshotRevisions = HashMap<String, Long>()
     private val graceEndsAtMs = HashMap<String, Long>()
-    private val workers = HashMap<String, Decoded<WorkerEntry>>()
+    private val workers = HashMap<String, Decoded<WorkerEntry?>>()
     private var desired: Decoded<DesiredState>? = null
     private var lastOutageEndMs: Long? = null
     private var isStoreUnavailable = false
@@ -77,6 +77,21 @@
         revision = maxOf(revision, snapshotRevision)
     }
 
+    /**
+     * Applies the desired state among the [entries] of a peer if its version is newer than the known one, whatever its revision is, and
+     * returns whether it is.
+     */
+    fun onPeerDesiredState(entries: Collection<StoreEntry>): Boolean {
+        val entry = entries.find { it.key == keys.desiredKey } ?: return false
+        val decoded = decoder.desiredState(entry) ?: return false
+        val known = desired
+        if (known != null && decoded.version <= known.value.version) return false
+        val revision = maxOf(entry.revision, known?.revision ?: 0)
+        this.entries[entry.key] = entry.copy(revision = revision)
+        desired = Decoded(revision, decoded)
+        return true
+    }
+
     /** Applies [changes] of the store in order. */
     fun onChanges(
         nowMs: Long,
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/peer/PeerMessageCodecTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/peer/PeerMessageCodecTest.kt
@@ -27,6 +27,7 @@
             availabilityZone = "east-a",
             storeRevision = 4_711,
             isServing = true,
+            version = 12,
             demandPerS = (1..workspaces).associate { WorkspaceTag.of(WorkspaceId("workspace-$it")) to it / 10.0 },
             sharesPerMille = emptyMap(),
             stalePeers = listOf("front-west-a-2"),
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/StateCacheTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/StateCacheTest.kt
@@ -6,6 +6,8 @@
 import io.kumquatmill.store.StoreEntry
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
 
 class StateCacheTest {
     private val keys = StateKeys("d", "evacuate/", "workers/", "hosts/", listOf(""))
@@ -229,6 +231,18 @@
         assertEquals(emptySet(), cache.state().evacuatedZones)
     }
 
+    @Test
+    fun `the newer version of a peer is applied although its revision is not higher, and an older or unreadable one never is`() {
+        snapshot(1_000, restored(51), StoreEntry("d", "5", restored(40)))
+        assertTrue(cache.onPeerDesiredState(listOf(StoreEntry("d", "7", 52))))
+        assertEquals(7, cache.state().desired?.version)
+        listOf("7", "6", "nonsense").forEach { assertFalse(cache.onPeerDesiredState(listOf(StoreEntry("d", it, restored(60)))), "for $it") }
+        put("d", "6", restored(52))
+        assertEquals(7, cache.state().desired?.version)
+        put("d", "8", restored(53))
+        assertEquals(8, cache.state().desired?.version)
+    }
+
     @Test
     fun `a late snapshot from before a restore changes nothing`() {
         snapshot(1_000, restored(25), StoreEntry("d", "7", restored(24)), StoreEntry("workers/a", "ready", restored(25)))
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/PeerReport.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/PeerReport.kt
@@ -6,6 +6,7 @@
  * @property incarnation Unix time of the host's start in milliseconds; it increases with each restart
  * @property sequence number of the report within its incarnation
  * @property storeRevision highest store revision that the host has applied
+ * @property version version of the desired state that is in effect, or null before the first one
  * @property demandPerS demand at this host by workspace, in requests per second; workspaces without demand are left out
  * @property sharesPerMille the host's shares of the workspaces' rate limits in thousandths, rounded up; idle shares of workspaces
  * without demand are left out
@@ -21,6 +22,7 @@
     val availabilityZone: String,
     val storeRevision: Long,
     val isServing: Boolean,
+    val version: Long? = null,
     val demandPerS: Map<WorkspaceTag, Double> = emptyMap(),
     val sharesPerMille: Map<WorkspaceTag, Int> = emptyMap(),
     val workerLimits: Map<WorkerTag, WorkerLimitObservation> = emptyMap(),
