Say once how simulated workers write their entries

No behaviour changes: the two simulations of the store had the same life of a worker, and a condition of the cache is one expression now. Assertions, bounds and seeds are as before.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StateCache.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StateCache.kt
@@ -55,6 +55,10 @@
     var revision: Long = 0
         private set
 
+    /** Whether something is held back or kept that the store has to confirm. */
+    val isSettling: Boolean
+        get() = held.isNotEmpty() || graceEndsAtMs.isNotEmpty()
+
     /** Applies a [snapshot] of all entries under [prefix] as of [snapshotRevision]. */
     fun onSnapshot(
         nowMs: Long,
@@ -137,10 +141,6 @@
         return expired.isNotEmpty() || due.isNotEmpty()
     }
 
-    /** Whether something is held back or kept that the store has to confirm. */
-    val isSettling: Boolean
-        get() = held.isNotEmpty() || graceEndsAtMs.isNotEmpty()
-
     /** Returns whether the store has answered since [timeMs]; a host that has not heard of it may have missed what was written again. */
     private fun isConfirmedSince(timeMs: Long): Boolean = (storeAnsweredAtMs ?: return false) >= timeMs
 
@@ -204,13 +204,11 @@
     /** Returns whether [entry] of a snapshot may have been written before what is known of its key, as the store lost later writes. */
     private fun isFromOlderCopy(entry: StoreEntry): Boolean {
         val knownRevision = entries[entry.key]?.revision ?: deletionRevisions[entry.key] ?: return false
-        return when {
-            eraOf(entry.revision) <= eraOf(knownRevision) -> false
-            entry.key.startsWith(keys.workerPrefix) -> isOlderStatement(entry)
-            else -> false
-        }
+        val isFromLaterEra = eraOf(entry.revision) > eraOf(knownRevision)
+        return isFromLaterEra && entry.key.startsWith(keys.workerPrefix) && isOlderStatement(entry)
     }
 
+    /** Returns whether [entry] says what its worker said before the latest known statement, or no more than a worker said that has left. */
     private fun isOlderStatement(entry: StoreEntry): Boolean {
         val departed = departedWorkers[entry.key]?.worker
         val known = workers[entry.key]?.value ?: departed ?: return false
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/RestoredStoreFleetTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/RestoredStoreFleetTest.kt
@@ -54,14 +54,13 @@
         private var storeDownUntilMs = 0L
         private var storeTroubledUntilMs = 0L
         private var version = 0L
-        private val workers = HashMap<String, String>()
-        private val left = HashSet<Pair<WorkerId, Long>>()
+        private val workers = SimulatedWorkers(store, random)
         private val hosts = ArrayList<Host>()
         val violations = ArrayList<String>()
 
         fun run(): List<String> {
             store.write("d", "${++version}")
-            repeat(WORKERS) { advanceWorker("workers/w$it") }
+            repeat(WORKERS) { workers.advance("workers/w$it", nowMs) }
             repeat(hostCount) { hosts += start(it) }
             act()
             while (nowMs < FAULTS_END_MS + SETTLE_MS) {
@@ -71,7 +70,7 @@
             }
             val behind = hosts.filter { it.lastVersion != version }.map { "host ${it.index} has ${it.lastVersion}" }
             if (behind.isNotEmpty()) violations += "version $version at the end: $behind"
-            val expected = workers.keys.mapTo(HashSet()) { it.removePrefix("workers/") }
+            val expected = workers.names
             val wrong =
                 hosts
                     .filter { host ->
@@ -221,7 +220,7 @@
                 state.workers.values
                     .filterNot { it.isDraining }
                     .mapTo(HashSet()) { it.id to it.startedAtMs }
-            host.vanished += (host.used - usable).filter { it in left }
+            host.vanished += (host.used - usable).filter { it in workers.leftProcesses }
             host.used += usable
             val wrong = usable.filter { it in host.vanished }
             if (wrong.isNotEmpty()) violations += "at $nowMs ms: host ${host.index} uses $wrong again"
@@ -231,7 +230,7 @@
             if (nowMs >= FAULTS_END_MS) return write(isLast = true)
             when (random.nextInt(12)) {
                 0, 1 -> write(isLast = false)
-                2, 3, 4 -> advanceWorker("workers/w${random.nextInt(WORKERS)}")
+                2, 3, 4 -> workers.advance("workers/w${random.nextInt(WORKERS)}", nowMs)
                 5 -> if (random.nextInt(3) == 0) store.saveCopy()
                 6 -> if (random.nextInt(12) == 0) restoreStore()
                 7 -> if (random.nextInt(8) == 0) store.compact()
@@ -256,20 +255,6 @@
             }
         }
 
-        private fun advanceWorker(key: String) {
-            val (state, startedAt, sequence) = (workers[key] ?: "gone/$nowMs/0").split('/')
-            val next =
-                when {
-                    state == "gone" -> "ready/$nowMs/1"
-                    random.nextBoolean() -> "$state/$startedAt/${sequence.toLong() + 1}"
-                    state == "ready" -> "draining/$startedAt/${sequence.toLong() + 1}"
-                    else -> null
-                }
-            if (next == null) left += WorkerId(key.removePrefix("workers/")) to startedAt.toLong()
-            if (next == null) workers.remove(key) else workers[key] = next
-            store.write(key, next)
-        }
-
         /** Restores the store from its copy. The operator and the workers write again what it lost. */
         private fun restoreStore() {
             storeDownUntilMs = nowMs + random.nextLong(50, 2_500)
@@ -277,13 +262,7 @@
             val lost = store.restore()
             lost.forEach { key ->
                 after(storeDownUntilMs - nowMs + random.nextLong(0, 2_000)) {
-                    if (key == "d") {
-                        store.write(key, "$version")
-                    } else {
-                        val (state, startedAt, sequence) = workers[key]?.split('/') ?: return@after store.write(key, null)
-                        workers[key] = "$state/$startedAt/${sequence.toLong() + 1}"
-                        store.write(key, workers[key])
-                    }
+                    if (key == "d") store.write(key, "$version") else workers.rewrite(key)
                 }
             }
         }
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/StoreSimulationTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/StoreSimulationTest.kt
@@ -30,9 +30,8 @@
     ) : StoreListener {
         private val random = Random(seed)
 
-        /** What each worker last said, whether or not the store still has it. */
-        private val workers = HashMap<String, String>()
         private val store = SimulatedStore()
+        private val workers = SimulatedWorkers(store, random)
         private val tasks = PriorityQueue<Triple<Long, Long, () -> Unit>>(compareBy({ it.first }, { it.second }))
         private var scheduledTaskCount = 0L
         private var nowMs = 0L
@@ -45,7 +44,6 @@
         private val evacuated = HashSet<String>()
         private var shownZones = emptySet<String>()
         private val takenBack = HashSet<String>()
-        private val leftProcesses = HashSet<Pair<WorkerId, Long>>()
         private val vanishedProcesses = HashSet<Pair<WorkerId, Long>>()
         private val drainingProcesses = HashSet<Pair<WorkerId, Long>>()
         private var usedProcesses = emptySet<Pair<WorkerId, Long>>()
@@ -89,7 +87,7 @@
                     }
                 5 -> if (random.nextInt(4) == 0) loadSnapshotFromPeer()
                 else -> {
-                    writeWorker("workers/w${random.nextInt(6)}")
+                    workers.advance("workers/w${random.nextInt(6)}", nowMs)
                 }
             }
             if (random.nextInt(40) == 0) store.saveCopy()
@@ -107,21 +105,6 @@
             store.write("evacuate/$zone", if (isEvacuated) "x" else null)
         }
 
-        /** Writes the next entry of a worker, which becomes ready, drains, leaves and starts again. */
-        private fun writeWorker(key: String) {
-            val (state, startedAt, sequence) = (workers[key] ?: "gone/$nowMs/0").split('/')
-            val next =
-                when {
-                    state == "gone" -> "ready/$nowMs/1"
-                    random.nextBoolean() -> "$state/$startedAt/${sequence.toLong() + 1}"
-                    state == "ready" -> "draining/$startedAt/${sequence.toLong() + 1}"
-                    else -> null
-                }
-            if (next == null) leftProcesses += WorkerId(key.removePrefix("workers/")) to startedAt.toLong()
-            if (next == null) workers.remove(key) else workers[key] = next
-            store.write(key, next)
-        }
-
         /** Restores the store from its copy. Operators and workers write again what it lost, within two seconds. */
         private fun restoreStore() {
             restores++
@@ -129,7 +112,7 @@
             store.restore().forEach { key ->
                 runAfter(random.nextLong(0, 2_000)) {
                     when {
-                        key.startsWith("workers/") -> rewriteWorker(key)
+                        key.startsWith("workers/") -> workers.rewrite(key)
                         key == "d" -> store.write("d", "$version")
                         else -> key.removePrefix("evacuate/").let { zone -> writeEvacuation(zone, zone in evacuated) }
                     }
@@ -137,14 +120,6 @@
             }
         }
 
-        private fun rewriteWorker(key: String) {
-            workers[key]?.let { workers[key] = nextStatement(it) }
-            store.write(key, workers[key])
-        }
-
-        private fun nextStatement(value: String): String =
-            value.split('/').let { (state, startedAt, sequence) -> "$state/$startedAt/${sequence.toLong() + 1}" }
-
         /** Loads the current entries through a peer, which arrive up to 500 ms later. */
         private fun loadSnapshotFromPeer() {
             val entries = store.entries.values.toList()
@@ -233,16 +208,13 @@
         ) = cache.onOutageEnd(nowMs)
 
         private fun checkState() {
-            val workers = cache.state().workers.values
-            val processes = workers.mapTo(HashSet()) { it.id to it.startedAtMs }
-            vanishedProcesses += (usedProcesses - processes).filter { it in leftProcesses }
+            val known = cache.state().workers.values
+            val processes = known.mapTo(HashSet()) { it.id to it.startedAtMs }
+            vanishedProcesses += (usedProcesses - processes).filter { it in workers.leftProcesses }
             usedProcesses = processes
-            workers.filter { it.isDraining }.forEach { drainingProcesses += it.id to it.startedAtMs }
-            val usable = workers.filterNot { it.isDraining }.map { it.id to it.startedAtMs }
-            usable.filter { it in vanishedProcesses }.forEach {
-                violations +=
-                    "at $nowMs ms: $it in use again after it had left"
-            }
+            known.filter { it.isDraining }.forEach { drainingProcesses += it.id to it.startedAtMs }
+            val usable = known.filterNot { it.isDraining }.map { it.id to it.startedAtMs }
+            usable.filter { it in vanishedProcesses }.forEach { violations += "at $nowMs ms: $it in use again after it had left" }
             usable.filter { it in drainingProcesses }.forEach { violations += "at $nowMs ms: $it in use again after it drained" }
             checkEvacuatedZones()
             checkVersion()
