Count an answer of the store as a confirmation only from when it was asked

An answer now confirms the time at which its call was sent. Watches are answered within half a second while something has to be confirmed, so that a second call fits into the time in which a host must have the final state.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/StateUpdater.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/StateUpdater.kt
@@ -40,7 +40,9 @@
         applyState("store")
     }
 
-    override fun onAnswered() = cache.onStoreAnswered(clock.nowMs())
+    override fun onAsked() = cache.onStoreAsked(clock.nowMs())
+
+    override fun onAnswered() = cache.onStoreAnswered()
 
     override fun onFailure(
         prefix: String,
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/PrefixWatcher.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/PrefixWatcher.kt
@@ -123,12 +123,15 @@
     private fun sendGuarded(
         call: StoreCall,
         onResult: (Either<StoreError, StoreReply>) -> Unit,
-    ) = send(call) { result ->
-        try {
-            onResult(result)
-        } catch (e: RuntimeException) {
-            revision = null
-            onFailed(StoreError.Unknown("handling the reply failed: $e")) { readSnapshot() }
+    ) {
+        listener.onAsked()
+        send(call) { result ->
+            try {
+                onResult(result)
+            } catch (e: RuntimeException) {
+                revision = null
+                onFailed(StoreError.Unknown("handling the reply failed: $e")) { readSnapshot() }
+            }
         }
     }
 
@@ -155,7 +158,7 @@
         const val PROBE_WATCH_WAIT_MS = 200L
 
         /** Wait of a watch while the store has to confirm what it may have lost. */
-        const val SETTLING_WATCH_WAIT_MS = 1_000L
+        const val SETTLING_WATCH_WAIT_MS = 500L
 
         const val INITIAL_BACKOFF_MS = 100L
         const val MAX_BACKOFF_MS = 800L
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StateCache.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StateCache.kt
@@ -49,7 +49,8 @@
     private var desired: Decoded<DesiredState>? = null
     private var lastOutageEndMs: Long? = null
     private var isStoreUnavailable = false
-    private var storeAnsweredAtMs: Long? = null
+    private var askedAtMs: Long? = null
+    private var confirmedAtMs: Long? = null
 
     /** Highest store revision that was applied. */
     var revision: Long = 0
@@ -118,9 +119,14 @@
         lastOutageEndMs = nowMs
     }
 
-    /** Records that the store has answered, and that its changes until then were applied. */
-    fun onStoreAnswered(nowMs: Long) {
-        storeAnsweredAtMs = nowMs
+    /** Records that the store was called. */
+    fun onStoreAsked(nowMs: Long) {
+        askedAtMs = nowMs
+    }
+
+    /** Records that the store has answered the latest call, and that its changes were applied. The answer may have been read late. */
+    fun onStoreAnswered() {
+        confirmedAtMs = askedAtMs
     }
 
     /** Applies what was held back or kept for long enough without being written again; returns whether there was anything. */
@@ -141,8 +147,8 @@
         return expired.isNotEmpty() || due.isNotEmpty()
     }
 
-    /** Returns whether the store has answered since [timeMs]; a host that has not heard of it may have missed what was written again. */
-    private fun isConfirmedSince(timeMs: Long): Boolean = (storeAnsweredAtMs ?: return false) >= timeMs
+    /** Returns whether the store has answered a call since [timeMs]; otherwise this host may have missed what was written again. */
+    private fun isConfirmedSince(timeMs: Long): Boolean = (confirmedAtMs ?: return false) >= timeMs
 
     /** Returns all entries, to be sent to a peer. */
     fun allEntries(): List<StoreEntry> = entries.values.toList()
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StoreListener.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StoreListener.kt
@@ -16,7 +16,10 @@
     /** Called with [changes] in the order of their revisions. */
     fun onChanges(changes: List<StoreChange>)
 
-    /** Called when the store has answered, with or without changes, after they were passed on. */
+    /** Called when a call is sent; there is one at a time. */
+    fun onAsked()
+
+    /** Called when the store has answered the latest call, with or without changes, after they were passed on. */
     fun onAnswered()
 
     /** Called when a store call fails; [failures] is the number of consecutive failures. */
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/PrefixWatcherTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/PrefixWatcherTest.kt
@@ -44,6 +44,8 @@
                         events += "changes ${changes.map { it.key }}"
                     }
 
+                    override fun onAsked() = Unit
+
                     override fun onAnswered() = Unit
 
                     override fun onFailure(
