Log a fingerprint of each request

Logs could not say whether two requests are the same: neither path nor body is logged. The fingerprint is a 64-bit hash of method, host, target, workspace and body, the same on all hosts; lines `sent` and `answered` have it.

--- a/kumquatmill-common/src/main/kotlin/io/kumquatmill/common/hash/RendezvousHash.kt
+++ b/kumquatmill-common/src/main/kotlin/io/kumquatmill/common/hash/RendezvousHash.kt
@@ -7,6 +7,9 @@
 /** Returns a 64-bit hash of [text] that is the same on all hosts and across restarts. */
 fun stableHash(text: String): Long = hashFunction.hashChars(text)
 
+/** Returns a 64-bit hash of [bytes] that is the same on all hosts and across restarts. */
+fun stableHash(bytes: ByteArray): Long = hashFunction.hashBytes(bytes)
+
 /** Combines the hashes [first] and [second] into one 64-bit hash. The order of the arguments matters. */
 fun combineHashes(
     first: Long,
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
@@ -3,10 +3,12 @@
 import io.kumquatmill.gateway.http.CallResult
 import io.kumquatmill.gateway.http.HttpCall
 import io.kumquatmill.gateway.http.OngoingCall
+import io.kumquatmill.gateway.log.RequestIdentity
 import io.kumquatmill.traffic.control.AttemptResult
 import io.kumquatmill.traffic.control.RequestAction
 import io.kumquatmill.traffic.control.RouteResolution
 import io.kumquatmill.traffic.control.TrafficRequest
+import io.kumquatmill.traffic.crash.RequestFingerprint
 import io.undertow.server.HttpServerExchange
 import io.undertow.util.Headers
 import io.undertow.util.HttpString
@@ -35,6 +37,9 @@
     private val target = exchange.rawTarget
     private val method = exchange.requestMethod.toString()
     private val headers = endToEndHeaders(exchange.requestHeaders, reservedHeaders(headerNames))
+    private val fingerprint =
+        RequestFingerprint.of(method, exchange.requestHeaders.getFirst(Headers.HOST).orEmpty(), target, resolved.workspace?.id, body)
+    private val identity = RequestIdentity(id, fingerprint)
     private var trafficRequest: TrafficRequest? = null
     private var call: OngoingCall? = null
     private var workerResponse: CallResult.Response? = null
@@ -53,7 +58,7 @@
                 ?.toLongOrNull()
                 ?.takeIf { it > 0 }
         val affinityKey = exchange.requestHeaders.getFirst(headerNames.affinityKey)
-        val (admittedRequest, action) = controller.begin(arrivedAtMs, resolved, affinityKey, id, deadlineMs)
+        val (admittedRequest, action) = controller.begin(arrivedAtMs, resolved, affinityKey, id, deadlineMs, fingerprint)
         trafficRequest = admittedRequest
         if (admittedRequest != null) {
             val timeLimitMs = maxOf(1, admittedRequest.deadlineAtMs - arrivedAtMs)
@@ -98,7 +103,7 @@
 
     private fun send(action: RequestAction.Send) {
         val entry = action.worker.entry
-        context.log.attemptStarted(id, entry, controller.version, action.worker.load(clock.nowMs()))
+        context.log.attemptStarted(identity, entry, controller.version, action.worker.load(clock.nowMs()))
         val hostHeaders =
             listOfNotNull(
                 headerNames.deadline to action.timeoutMs.toString(),
@@ -162,7 +167,7 @@
         if (isFinished) return
         release()
         val durationMs = clock.nowMs() - arrivedAtMs
-        context.log.requestFinished(id, resolved, trafficRequest, status, outcome, durationMs, controller.version)
+        context.log.requestFinished(identity, resolved, trafficRequest, status, outcome, durationMs, controller.version)
         context.metrics.countRequest(resolved.route.id.value, outcome)
         context.metrics.recordDuration(outcome, durationMs)
         if (isCallerDisconnected) return
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/RequestLog.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/RequestLog.kt
@@ -41,13 +41,14 @@
 
     /** Logs that the request is sent to [worker], which is estimated to hold [load] requests. */
     fun attemptStarted(
-        id: String,
+        identity: RequestIdentity,
         worker: WorkerEntry,
         version: Long?,
         load: Double,
     ) = logger
         .atInfo()
-        .addKeyValue("request", id)
+        .addKeyValue("request", identity.id)
+        .addKeyValue("fingerprint", identity.fingerprint)
         .addKeyValue("worker", worker.id)
         .addKeyValue("zone", worker.availabilityZone)
         .addKeyValue("workerRevision", describeRevision(worker.revision))
@@ -78,7 +79,7 @@
 
     /** Logs the final response to a request whose route is known. */
     fun requestFinished(
-        id: String,
+        identity: RequestIdentity,
         resolved: RouteResolution.Resolved,
         request: TrafficRequest?,
         status: Int,
@@ -87,7 +88,8 @@
         version: Long?,
     ) = logger
         .atInfo()
-        .addKeyValue("request", id)
+        .addKeyValue("request", identity.id)
+        .addKeyValue("fingerprint", identity.fingerprint)
         .addKeyValue("route", resolved.route.id)
         .addKeyValue("workspace", resolved.workspace?.id)
         .addKeyValue("upstream", request?.upstream)
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
@@ -3,6 +3,7 @@
 import io.kumquatmill.common.hash.stableHash
 import io.kumquatmill.common.id.AvailabilityZoneId
 import io.kumquatmill.common.id.RegionId
+import io.kumquatmill.traffic.crash.RequestFingerprint
 import io.kumquatmill.traffic.fleet.EntryHostInfo
 import io.kumquatmill.traffic.fleet.FleetView
 import io.kumquatmill.traffic.fleet.PeerReport
@@ -170,6 +171,7 @@
      *
      * @param affinityKey key that all requests for the same object share, or null if the request has none
      * @param deadlineMs time in milliseconds that the caller is willing to wait, or null if it states none
+     * @param fingerprint identifies the request when it comes again under another id
      */
     fun begin(
         nowMs: Long,
@@ -177,6 +179,7 @@
         affinityKey: String?,
         requestId: String,
         deadlineMs: Long?,
+        fingerprint: RequestFingerprint,
     ): Pair<TrafficRequest?, RequestAction> {
         val route = resolved.route
         val maxTokenWaitMs = (route.targetLatencyMs * TOKEN_WAIT_FRACTION).toLong()
@@ -199,6 +202,7 @@
                 requestHash = requestHash,
                 isCallerRetry = deadlineMs != null && callerRetries.isRetry(route.id, deadlineMs),
                 priorityRank = priorities.indexOf(route.priority).coerceAtLeast(0),
+                fingerprint = fingerprint,
             )
         return request to
             (if (decision is RateLimitDecision.Pending) RequestAction.Wait(decision.afterMs) else next(nowMs, request, lastFailure = null))
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficRequest.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficRequest.kt
@@ -2,6 +2,7 @@
 
 import io.kumquatmill.common.id.UpstreamId
 import io.kumquatmill.common.id.WorkerId
+import io.kumquatmill.traffic.crash.RequestFingerprint
 import io.kumquatmill.traffic.model.TrafficRoute
 import io.kumquatmill.traffic.model.Workspace
 import io.kumquatmill.traffic.placement.PlacementQuery
@@ -24,6 +25,7 @@
     internal val requestHash: Long,
     internal val isCallerRetry: Boolean,
     internal val priorityRank: Int,
+    internal val fingerprint: RequestFingerprint,
 ) {
     /** Number of attempts so far. */
     var attempts: Int = 0
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/Fixtures.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/Fixtures.kt
@@ -9,6 +9,7 @@
 import io.kumquatmill.common.id.WorkspaceId
 import io.kumquatmill.traffic.control.TrafficController
 import io.kumquatmill.traffic.control.TrafficSettings
+import io.kumquatmill.traffic.crash.RequestFingerprint
 import io.kumquatmill.traffic.fleet.EntryHostInfo
 import io.kumquatmill.traffic.fleet.PeerReport
 import io.kumquatmill.traffic.fleet.WorkspaceTag
@@ -22,6 +23,9 @@
 
 internal val catalogueUpstream = UpstreamId("catalogue")
 
+/** For requests whose content does not matter. */
+internal val anyFingerprint = RequestFingerprint(0)
+
 internal val regionByZone =
     mapOf("east-a" to "east", "east-b" to "east", "west-a" to "west")
         .entries
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/control/OverloadTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/control/OverloadTest.kt
@@ -1,6 +1,7 @@
 package io.kumquatmill.traffic.control
 
 import io.kumquatmill.common.id.RouteId
+import io.kumquatmill.traffic.anyFingerprint
 import io.kumquatmill.traffic.desiredState
 import io.kumquatmill.traffic.trafficController
 import io.kumquatmill.traffic.worker
@@ -25,7 +26,7 @@
         var refusedByRateLimit = 0
         for (nowMs in 0L until 4_000L step 5) {
             if (nowMs % 250 == 0L) controller.tick(nowMs)
-            val (_, action) = controller.begin(nowMs, alpha, "k1", "r$nowMs", 2_000)
+            val (_, action) = controller.begin(nowMs, alpha, "k1", "r$nowMs", 2_000, anyFingerprint)
             if (action is RequestAction.Refuse && action.cause == RefusalCause.RATE_LIMIT_EXCEEDED) refusedByRateLimit++
         }
         // 200 requests per second against a rate of 20, in a fleet of at least three hosts.
@@ -46,12 +47,12 @@
     fun `retry times differ between callers that are refused at the same time`() {
         val controller = trafficController(listOf(worker("e1", slots = 1)))
         val resolved = assertIs<RouteResolution.Resolved>(controller.resolve("shop.example", "/lookup/1", "key-alpha"))
-        val (first, firstAction) = controller.begin(0, resolved, "k1", "first", 2_000)
+        val (first, firstAction) = controller.begin(0, resolved, "k1", "first", 2_000, anyFingerprint)
         assertIs<RequestAction.Send>(firstAction)
         controller.onResult(100, checkNotNull(first), AttemptResult.Answered(200, WorkerLoad(1, 12, 1)))
         val retryAfterMs =
             (1..30)
-                .map { controller.begin(101, resolved, "k1", "r$it", 2_000).second }
+                .map { controller.begin(101, resolved, "k1", "r$it", 2_000, anyFingerprint).second }
                 .filterIsInstance<RequestAction.Refuse>()
                 .map { it.retryAfterMs }
         assertEquals(30, retryAfterMs.size)
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/control/TrafficControllerTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/control/TrafficControllerTest.kt
@@ -1,5 +1,6 @@
 package io.kumquatmill.traffic.control
 
+import io.kumquatmill.traffic.anyFingerprint
 import io.kumquatmill.traffic.desiredState
 import io.kumquatmill.traffic.host
 import io.kumquatmill.traffic.route
@@ -21,7 +22,7 @@
     private fun TrafficController.resolved(): RouteResolution.Resolved = assertIs(resolve("shop.example", "/lookup/1", "key-alpha"))
 
     private fun TrafficController.beginSent(deadlineMs: Long = 2_000): Pair<TrafficRequest, RequestAction.Send> {
-        val (request, action) = begin(0, resolved(), "k1", "r1", deadlineMs)
+        val (request, action) = begin(0, resolved(), "k1", "r1", deadlineMs, anyFingerprint)
         return assertNotNull(request) to assertIs<RequestAction.Send>(action)
     }
 
@@ -89,10 +90,10 @@
             desiredState(routes = listOf(route(isIdempotent = false)), workspaces = listOf(workspace(ratePerS = 1.0, burst = 1.0)))
         val controller = trafficController(listOf(worker("e1")), limited)
         controller.tick(6_000)
-        val (request, action) = controller.begin(8_000, controller.resolved(), "k1", "r1", 2_000)
+        val (request, action) = controller.begin(8_000, controller.resolved(), "k1", "r1", 2_000, anyFingerprint)
         assertIs<RequestAction.Send>(action)
         assertIs<RequestAction.Refuse>(controller.onResult(8_050, assertNotNull(request), AttemptResult.Shed(null)))
-        val (_, nextAction) = controller.begin(8_060, controller.resolved(), "k1", "r2", 2_000)
+        val (_, nextAction) = controller.begin(8_060, controller.resolved(), "k1", "r2", 2_000, anyFingerprint)
         assertNotEquals(RefusalCause.RATE_LIMIT_EXCEEDED, (nextAction as? RequestAction.Refuse)?.cause)
     }
 
@@ -121,7 +122,7 @@
     fun `a request above the workspace's rate limit is refused with a retry time`() {
         val controller = trafficController(workers, desiredState(workspaces = listOf(workspace(ratePerS = 10.0, burst = 5.0))))
         controller.tick(1_000)
-        val actions = (1..50).map { controller.begin(1_000, controller.resolved(), "k$it", "r$it", 2_000).second }
+        val actions = (1..50).map { controller.begin(1_000, controller.resolved(), "k$it", "r$it", 2_000, anyFingerprint).second }
         val refused = actions.filterIsInstance<RequestAction.Refuse>().filter { it.cause == RefusalCause.RATE_LIMIT_EXCEEDED }
         assertTrue(refused.isNotEmpty())
         assertTrue(refused.all { it.retryAfterMs > 0 })
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/workerlimit/WorkerLimitSimulation.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/workerlimit/WorkerLimitSimulation.kt
@@ -1,5 +1,6 @@
 package io.kumquatmill.traffic.workerlimit
 
+import io.kumquatmill.traffic.anyFingerprint
 import io.kumquatmill.traffic.control.AttemptResult
 import io.kumquatmill.traffic.control.RequestAction
 import io.kumquatmill.traffic.control.RouteResolution
@@ -136,7 +137,7 @@
         val controller = host.controller
         val resolved = controller.resolve("shop.example", "/lookup/1", "key-alpha") as RouteResolution.Resolved
         val key = "k${random.nextInt(KEYS)}"
-        val (request, action) = controller.begin(timeOf(host), resolved, key, "r${eventCount++}", deadlineMs = 2_000)
+        val (request, action) = controller.begin(timeOf(host), resolved, key, "r${eventCount++}", deadlineMs = 2_000, anyFingerprint)
         perform(host, request, action)
     }
 
