Show that a refusal written once more and a response cut in its head reach no caller

Two reports of other operators: clients were told "not run" for requests that ran, because a worker had written an earlier refusal once more on a kept connection; and clients got a short body framed as whole, because a worker had stopped in the middle of a head.

Neither can happen here. An id of another request, or none on a connection in use before, says nothing about a request, and its connection is closed. A response is cut after each byte of three responses, none of which is delivered. No code changed.

--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/http/EventLoopHttpClientTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/http/EventLoopHttpClientTest.kt
@@ -2,6 +2,9 @@
 
 import io.kumquatmill.common.fleet.HostAddress
 import io.kumquatmill.common.time.MonotonicClock
+import io.kumquatmill.gateway.caller.HttpHeaderNames
+import io.kumquatmill.gateway.caller.classifyResponse
+import io.kumquatmill.traffic.control.AttemptResult
 import io.kumquatmill.traffic.crash.ProbeResult
 import io.undertow.server.DefaultByteBufferPool
 import org.xnio.OptionMap
@@ -134,6 +137,58 @@
             socket.close()
         }) { server -> assertIs<CallResult.Incomplete>(send(server.address)) }
 
+    @Test
+    fun `a response that ends before its head is complete is never delivered, wherever it ends`() {
+        val responses =
+            listOf(
+                "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\nContent-Length: 12\r\n\r\ntwelve bytes",
+                "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nRequest-Id: r1\r\nServer-Stamp: s\r\n\r\ntwelve bytes",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nRequest-Id: r1\r\nServer-Stamp: s\r\n\r\n4\r\nfour\r\n0\r\n\r\n",
+            )
+        responses.forEach { response ->
+            (1 until response.length).forEach { length ->
+                withServer({
+                    write(response.take(length))
+                    socket.close()
+                }) { server -> assertIs<CallResult.Incomplete>(send(server.address), "after '${response.take(length)}'") }
+            }
+        }
+    }
+
+    @Test
+    fun `an earlier refusal that is written once more does not say that the next request has not run`() {
+        val headerNames = HttpHeaderNames("Request-Id", "d", "a", "w", "e", "load", "limit", "Not-Executed", "Server-Stamp")
+        val refusal = "HTTP/1.1 503 Full\r\nRequest-Id: r1\r\nNot-Executed: full\r\nContent-Length: 0\r\n\r\n"
+        val lateCopies = listOf(refusal, refusal.replace("503 Full", "421 Misdirected"), refusal.replace("Request-Id: r1\r\n", ""))
+        lateCopies.forEach { lateCopy ->
+            withServer({ number -> write(if (number == 1) refusal else lateCopy + okResponse) }) { server ->
+                val first = assertIs<CallResult.Response>(send(server.address, "POST", body = "x"))
+                assertIs<AttemptResult.Shed>(classifyResponse(first, "r1", headerNames))
+                val second = assertIs<CallResult.Response>(send(server.address, "POST", body = "x"))
+                assertEquals(
+                    1,
+                    server.requests
+                        .map { it.socket.port }
+                        .toSet()
+                        .size,
+                    "expected a kept connection",
+                )
+                assertIs<AttemptResult.Unknown>(classifyResponse(second, "r2", headerNames), lateCopy)
+                Thread.sleep(EXTRA_DELAY_MS)
+                assertEquals(2, server.requests.size)
+                send(server.address)
+                assertEquals(
+                    2,
+                    server.requests
+                        .map { it.socket.port }
+                        .toSet()
+                        .size,
+                    "expected a new connection",
+                )
+            }
+        }
+    }
+
     @Test
     fun `a response without length is complete when its connection closes and incomplete when it is reset`() {
         withServer({
