Accept late requests of a planned stop only if they end before the exit, however long the stop may take

It could happen here with stop timeouts above 6 s: all requests were accepted for half of the timeout, and with 10 s one that came at 4.9 s had 4.7 s to end, less than it may take on routes with longer time limits. Now all requests are accepted for 3 s at most; later ones only if their time limit is over before the exit. Others are refused at once as not run, and go to another host.

HostTest "a request that comes late in a planned stop ..." failed before (200 instead of 503, 3.3 s into a stop of 8 s). Ruled out: timeouts of 6 s and less, where half of the timeout is 3 s or less. What can still be cut: requests that came within the first 3 s and last longer.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
@@ -155,10 +155,7 @@
         if (isDraining) return
         isDraining = true
         val nowMs = clock.nowMs()
-        val acceptAllMs = (settings.stopTimeoutMs * ACCEPT_ALL_FRACTION).toLong()
-        callerHandler.drain(
-            DrainSchedule(acceptAllUntilMs = nowMs + acceptAllMs, exitAtMs = nowMs + settings.stopTimeoutMs - STOP_MARGIN_MS),
-        )
+        callerHandler.drain(DrainSchedule.of(nowMs, settings.stopTimeoutMs))
         log.info("draining host", "openRequests" to callerHandler.activeRequestCount)
         controller.leave(nowMs)
         peerSynchronizer.sendReport()
@@ -173,7 +170,7 @@
     private fun awaitDrained(sinceMs: Long) {
         val elapsedMs = clock.nowMs() - sinceMs
         val isDrained = elapsedMs >= settings.stopTimeoutMs * MIN_DRAIN_FRACTION && callerHandler.activeRequestCount == 0
-        if (isDrained || elapsedMs >= settings.stopTimeoutMs - STOP_MARGIN_MS) {
+        if (isDrained || elapsedMs >= settings.stopTimeoutMs - DrainSchedule.EXIT_MARGIN_MS) {
             log.info("host stopped", "openRequests" to callerHandler.activeRequestCount, "afterMs" to elapsedMs)
             stopped.complete(callerHandler.activeRequestCount == 0)
         } else {
@@ -282,14 +279,8 @@
         /** A worker in another region accepts or refuses a connection within a few tens of milliseconds. */
         const val PROBE_TIMEOUT_MS = 400L
 
-        /** Fraction of the stop timeout during which all requests are accepted; callers refresh their directory response within it. */
-        const val ACCEPT_ALL_FRACTION = 0.5
-
         /** Fraction of the stop timeout during which new connections are still accepted. */
         const val MIN_DRAIN_FRACTION = 0.6
-
-        /** Time before the end of the stop timeout at which the host exits even if requests are open. */
-        const val STOP_MARGIN_MS = 400L
         const val STOP_POLL_MS = 50L
     }
 }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerHandler.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerHandler.kt
@@ -107,7 +107,7 @@
         val nowMs = context.clock.nowMs()
         val deadlineMs = exchange.requestHeaders.getFirst(context.headerNames.deadline)?.toLongOrNull() ?: Long.MAX_VALUE
         val timeLimitMs = min(resolved.route.timeoutMs ?: Long.MAX_VALUE, deadlineMs)
-        return nowMs < schedule.acceptAllUntilMs || timeLimitMs <= schedule.exitAtMs - nowMs
+        return schedule.accepts(nowMs, timeLimitMs)
     }
 
     private fun serve(
