Send an early report only of crashes that this host has seen itself

A host also sent one when its peers' reports made it quarantine a request. With 300 hosts one crash would have led to up to 300 early reports to 299 peers each. The peers that saw the crash have told everybody already; simulations of 7, 37 and 300 hosts hold without.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
@@ -219,7 +219,7 @@
     private fun onCrashEvent(event: CrashEvent) {
         metrics.countCrashEvent(event)
         when (event) {
-            is CrashEvent.WorkerEnded ->
+            is CrashEvent.WorkerEnded -> {
                 log.warn(
                     "worker ended while it ran a request",
                     "fingerprint" to event.fingerprint,
@@ -228,6 +228,8 @@
                     "crashes" to event.crashes,
                     "ageMs" to event.ageMs,
                 )
+                peerSynchronizer.sendReportSoon(::runAfter)
+            }
             is CrashEvent.QuarantineChanged ->
                 log.warn(
                     if (event.isQuarantined) "request quarantined: workers end when they run it" else "request not quarantined any more",
@@ -237,7 +239,6 @@
                     "ageMs" to event.ageMs,
                 )
         }
-        peerSynchronizer.sendReportSoon(::runAfter)
     }
 
     private fun onNewStoreEra(
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/crash/CrashingRequestSimulation.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/crash/CrashingRequestSimulation.kt
@@ -89,7 +89,7 @@
                 info,
                 settings().copy(crash = crashSettings),
                 probeWorker = { worker -> self()?.let { probe(it, worker) } },
-                onCrashEvent = { self()?.let { host -> sendReportSoon(host) } },
+                onCrashEvent = { event -> if (event is CrashEvent.WorkerEnded) self()?.let { sendReportSoon(it) } },
             )
         controller.updateHosts(nowMs, infos)
         controller.update(nowMs, state())
