--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/OverloadReplay.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/OverloadReplay.kt
@@ -1,6 +1,7 @@
 package io.kumquatmill.bench.overload
 
 import io.kumquatmill.common.fleet.HostAddress
+import io.kumquatmill.common.hash.stableHash
 import io.kumquatmill.common.id.AvailabilityZoneId
 import io.kumquatmill.common.id.RegionId
 import io.kumquatmill.common.id.RouteId
@@ -12,6 +13,7 @@
 import io.kumquatmill.traffic.control.TrafficController
 import io.kumquatmill.traffic.control.TrafficRequest
 import io.kumquatmill.traffic.control.TrafficSettings
+import io.kumquatmill.traffic.crash.RequestFingerprint
 import io.kumquatmill.traffic.fleet.EntryHostInfo
 import io.kumquatmill.traffic.fleet.PeerReport
 import io.kumquatmill.traffic.model.DesiredState
@@ -128,6 +130,7 @@
                     if (policy.hasAffinityKeys) objectKey else null,
                     id,
                     deadlineMs,
+                    RequestFingerprint(stableHash(id)),
                 )
             if (request != null) time.after(deadlineMs) { onDeadline(host, request) }
             perform(host, request, action)
