Move the times of store calls into a decision class

No behaviour changes: the waits of watches and the time-outs of calls were constants of the watcher and of the client, which no test without sockets could see together.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
@@ -17,6 +17,7 @@
 import io.kumquatmill.gateway.store.PrefixWatcher
 import io.kumquatmill.gateway.store.SendStoreCall
 import io.kumquatmill.gateway.store.StateCache
+import io.kumquatmill.gateway.store.StoreCallSchedule
 import io.kumquatmill.gateway.store.describeRevision
 import io.kumquatmill.traffic.control.TrafficController
 import io.kumquatmill.traffic.crash.CrashEvent
@@ -78,7 +79,9 @@
             ),
         )
     private val random = Random(settings.self.host.hashCode() xor System.nanoTime().toInt())
-    private val storeClient = EventLoopStoreClient(httpClient, settings.storeAddress, adapter.storeProtocol, ::onNewStoreEra)
+    private val storeSchedule = StoreCallSchedule()
+    private val storeClient =
+        EventLoopStoreClient(httpClient, settings.storeAddress, adapter.storeProtocol, storeSchedule, ::onNewStoreEra)
     private val sendStoreCall: SendStoreCall = { call, onResult ->
         storeClient.call(call) { result ->
             metrics.countStoreCall(result.fold({ it.javaClass.simpleName }, { "answered" }))
@@ -96,6 +99,7 @@
                 stateUpdater,
                 random,
                 controller::changeBatchMs,
+                storeSchedule,
                 storeClient::isConnected,
                 cache::isSettling,
             )
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/EventLoopStoreClient.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/EventLoopStoreClient.kt
@@ -13,12 +13,14 @@
 /**
  * Client of the key-value store at [address] that runs on the event loop. Calls are never retried.
  *
+ * @param schedule decides when a call is given up
  * @param onNewEra called before the result of the first call that the store answers in a new era, with the era before and the new one
  */
 class EventLoopStoreClient(
     private val httpClient: EventLoopHttpClient,
     private val address: HostAddress,
     private val protocol: StoreProtocol,
+    private val schedule: StoreCallSchedule,
     private val onNewEra: (before: Long?, era: Long) -> Unit,
 ) {
     private val eras = StoreEraTracker()
@@ -33,7 +35,6 @@
         onResult: (Either<StoreError, StoreReply>) -> Unit,
     ) {
         val request = protocol.encode(call.withNumbers())
-        val watchWaitMs = if (call is StoreCall.Watch) call.waitMs else 0
         val httpCall =
             HttpCall(
                 address = address,
@@ -42,7 +43,7 @@
                 headers = if (request.body.isEmpty()) hostHeader else hostHeader + jsonHeader,
                 body = request.body,
                 connectTimeoutMs = CONNECT_TIMEOUT_MS,
-                timeoutMs = watchWaitMs + CALL_TIMEOUT_MS,
+                timeoutMs = schedule.timeoutMs(call),
             )
         httpClient.send(httpCall) { result -> onResult(toStoreResult(call, result)) }
     }
@@ -79,8 +80,5 @@
     private companion object {
         /** The network delay between two regions is a few tens of milliseconds; if connecting takes longer, the service is unavailable. */
         const val CONNECT_TIMEOUT_MS = 800L
-
-        /** The service responds within a few milliseconds, or within a few hundred when it is slow. */
-        const val CALL_TIMEOUT_MS = 1_500L
     }
 }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/PrefixWatcher.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/PrefixWatcher.kt
@@ -22,6 +22,7 @@
  *
  * @param batchDelayMs returns the time in milliseconds for which changes are collected before the next watch: they come in bursts, and
  * each call is charged for
+ * @param schedule decides how long a watch waits
  * @param isConnected returns whether the next call goes over a connection on which the store has answered before
  * @param isSettling returns whether the listener waits for the store to confirm what it may have lost
  */
@@ -32,6 +33,7 @@
     private val listener: StoreListener,
     private val random: Random,
     private val batchDelayMs: () -> Long,
+    private val schedule: StoreCallSchedule = StoreCallSchedule(),
     private val isConnected: () -> Boolean = { true },
     private val isSettling: () -> Boolean = { false },
 ) {
@@ -108,15 +110,7 @@
         }
     }
 
-    private fun watchWaitMs(): Long =
-        when {
-            // The store may never respond to a call that is sent during an outage; a long wait would then delay recovery after the outage.
-            failures > 0 -> PROBE_WATCH_WAIT_MS
-            // A store that came back from an older copy closed the connection, and may wait for changes after a revision given out again.
-            !isConnected() -> PROBE_WATCH_WAIT_MS
-            isSettling() -> SETTLING_WATCH_WAIT_MS
-            else -> WATCH_WAIT_MS
-        }
+    private fun watchWaitMs(): Long = schedule.watchWaitMs(failures, isConnected(), isSettling())
 
     /** Sends [call]. If handling the result fails unexpectedly, a new snapshot is read later: the watch must not end silently. */
     @Suppress("TooGenericExceptionCaught")
@@ -151,15 +145,6 @@
     }
 
     private companion object {
-        /** Bounds the time until a dead connection is detected. It is not shorter, because the platform charges for each watch call. */
-        const val WATCH_WAIT_MS = 4_000L
-
-        /** Wait of a watch while the service is considered unavailable. */
-        const val PROBE_WATCH_WAIT_MS = 200L
-
-        /** Wait of a watch while the store has to confirm what it may have lost. */
-        const val SETTLING_WATCH_WAIT_MS = 500L
-
         const val INITIAL_BACKOFF_MS = 100L
         const val MAX_BACKOFF_MS = 800L
         const val MAX_BACKOFF_DOUBLINGS = 4
