Log and measure how old the last answer of the store is

The lines of a failed call said after which time-out it failed, but not since when this host may have missed changes; a host that has not yet noticed a silent connection said nothing at all. The age is now in both lines, and a gauge shows it before any call fails.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
@@ -189,6 +189,7 @@
         httpClient.closeExpiredConnections()
         metrics.setLimitedWorkers(controller.limitedWorkers)
         metrics.setQuarantinedRequests(controller.quarantinedRequests)
+        stateUpdater.answerAgeMs(nowMs)?.let { metrics.setStoreAnswerAge(it) }
     }
 
     /** Opens the caller listener on a separate thread, because binding a listener waits for the event loop. */
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/StateUpdater.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/StateUpdater.kt
@@ -20,11 +20,15 @@
 ) : StoreListener {
     private var wasReady = false
     private var wasEverReady = false
+    private var answeredAtMs: Long? = null
 
     /** Whether calls to the store are failing. */
     var isStoreUnavailable: Boolean = false
         private set
 
+    /** Returns the time in milliseconds since the store last answered this host's watch, or null before its first answer. */
+    fun answerAgeMs(nowMs: Long): Long? = answeredAtMs?.let { nowMs - it }
+
     override fun onSnapshot(
         prefix: String,
         entries: List<StoreEntry>,
@@ -42,14 +46,24 @@
 
     override fun onAsked() = cache.onStoreAsked(clock.nowMs())
 
-    override fun onAnswered() = cache.onStoreAnswered()
+    override fun onAnswered() {
+        answeredAtMs = clock.nowMs()
+        cache.onStoreAnswered()
+    }
 
     override fun onFailure(
         prefix: String,
         error: StoreError,
         failures: Int,
     ) {
-        if (failures == 1) log.warn("store call failed; retrying with backoff", "prefix" to prefix, "detail" to error.message)
+        if (failures == 1) {
+            log.warn(
+                "store call failed; retrying with backoff",
+                "prefix" to prefix,
+                "detail" to error.message,
+                "lastAnswerAgeMs" to (answerAgeMs(clock.nowMs()) ?: "none"),
+            )
+        }
         isStoreUnavailable = true
         cache.onOutage()
     }
@@ -58,7 +72,12 @@
         prefix: String,
         failures: Int,
     ) {
-        log.info("store available again", "prefix" to prefix, "failures" to failures)
+        log.info(
+            "store available again",
+            "prefix" to prefix,
+            "failures" to failures,
+            "lastAnswerAgeMs" to (answerAgeMs(clock.nowMs()) ?: "none"),
+        )
         isStoreUnavailable = false
         cache.onOutageEnd(clock.nowMs())
     }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
@@ -22,8 +22,13 @@
     private val limitedWorkers = AtomicInteger().also { registry.gauge("kumquatmill.worker.limits", it) }
     private val quarantinedRequests = AtomicInteger().also { registry.gauge("kumquatmill.requests.quarantined", it) }
     private val storeEra = AtomicLong().also { registry.gauge("kumquatmill.store.era", it) }
+    private val storeAnswerAgeMs = AtomicLong()
     private val durations = HashMap<String, Timer>()
 
+    init {
+        registry.gauge("kumquatmill.store.answer.age.seconds", storeAnswerAgeMs) { it.get() / MILLIS_PER_SECOND }
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     fun scrape(): String = registry.scrape()
 
@@ -74,6 +79,9 @@
     /** Sets the era of the store, which rises each time that the store comes back from an older copy. */
     fun setStoreEra(era: Long) = storeEra.set(era)
 
+    /** Sets the time since the store last answered the watch of this host. */
+    fun setStoreAnswerAge(ageMs: Long) = storeAnswerAgeMs.set(ageMs)
+
     /** Counts idle caller connections that were closed because too many connections were open. */
     fun countClosedIdleConnections(closed: Int) = registry.counter("kumquatmill.callers.closed.idle").increment(closed.toDouble())
 
@@ -96,5 +104,6 @@
         /** Bucket range of the histogram: from a locally generated rejection to the longest deadline. */
         const val MIN_DURATION_MS = 4L
         const val MAX_DURATION_MS = 12_000L
+        const val MILLIS_PER_SECOND = 1_000.0
     }
 }
