Derive the times of store calls from the bound in which a host must recover

Callers saw: keys that had been withdrawn were accepted, and routes served as an older version says, 4 s and more after connections to the store had gone silent. Cause: a watch waited 4.0 s and was given up 1.5 s later, whatever bounds the deployment states, so that a silent one was noticed up to 6.3 s later; 4 s are allowed. Ruled out: slow application of changes (0 to 12 ms in the logs); fetches from peers (none was made, as no peer had heard).

StoreCallSchedule now takes the bound from the settings (recovery-ms). After a failure the store has 1.5 s to answer, as before.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
@@ -79,7 +79,7 @@
             ),
         )
     private val random = Random(settings.self.host.hashCode() xor System.nanoTime().toInt())
-    private val storeSchedule = StoreCallSchedule()
+    private val storeSchedule = StoreCallSchedule(settings.storeRecoveryMs)
     private val storeClient =
         EventLoopStoreClient(httpClient, settings.storeAddress, adapter.storeProtocol, storeSchedule, ::onNewStoreEra)
     private val sendStoreCall: SendStoreCall = { call, onResult ->
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/settings/GatewaySettings.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/settings/GatewaySettings.kt
@@ -17,6 +17,7 @@
  * @property metricsPort port of the metrics endpoint, or null to disable it
  * @property seeds addresses of peers from which state is fetched while the store is unavailable
  * @property storeAddress address of the key-value store
+ * @property storeRecoveryMs time in milliseconds within which all changes must be applied after connections to the store went silent
  * @property directoryTtlS time to live of a directory response at callers, in seconds
  * @property stopTimeoutMs time in milliseconds from the stop request until the process must have exited
  * @property logLevel lowest level that is logged: debug, info, warn or error
@@ -33,6 +34,7 @@
     val metricsPort: Int?,
     val seeds: List<HostAddress>,
     val storeAddress: HostAddress,
+    val storeRecoveryMs: Long,
     val directoryTtlS: Int,
     val stopTimeoutMs: Long,
     val logLevel: String,
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/settings/GatewaySettingsLoader.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/settings/GatewaySettingsLoader.kt
@@ -77,6 +77,10 @@
                     int("max-descriptors", MIN_DESCRIPTORS..Int.MAX_VALUE, DEFAULT_MAX_DESCRIPTORS),
                 )
             }
+        val store =
+            section("store") {
+                address("address") to int("recovery-ms", STORE_RECOVERY_RANGE_MS, DEFAULT_STORE_RECOVERY_MS).toLong()
+            }
         return GatewaySettings(
             self = self,
             callerAddress = listen.callerAddress,
@@ -87,7 +91,8 @@
             peerReportPort = listen.peerReportPort,
             metricsPort = listen.metricsPort,
             seeds = section("peers") { if (optionalText("seeds").isNullOrBlank()) emptyList() else addresses("seeds") },
-            storeAddress = section("store") { address("address") },
+            storeAddress = store.first,
+            storeRecoveryMs = store.second,
             directoryTtlS = section("directory") { min(DIRECTORY_TTL_S, int("max-ttl-s", 1..MAX_DIRECTORY_TTL_S, DIRECTORY_TTL_S)) },
             stopTimeoutMs = section("stop") { int("within-s", 1..MAX_STOP_TIMEOUT_S, DEFAULT_STOP_TIMEOUT_S) * MILLIS_PER_SECOND },
             logLevel = section("log") { choice("level", logLevels, "info") ?: "info" },
@@ -166,6 +171,10 @@
 
         val PORT_RANGE = 1..65_535
 
+        /** A shorter time does not suffice for a watch, its time-out, and a snapshot from another region. */
+        val STORE_RECOVERY_RANGE_MS = 2_000..600_000
+        const val DEFAULT_STORE_RECOVERY_MS = 4_000
+
         /** Short enough that callers abandon a failed host within seconds, long enough to keep lookups few. */
         const val DIRECTORY_TTL_S = 2
         const val MAX_DIRECTORY_TTL_S = 3_600
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/PrefixWatcher.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/PrefixWatcher.kt
@@ -33,7 +33,7 @@
     private val listener: StoreListener,
     private val random: Random,
     private val batchDelayMs: () -> Long,
-    private val schedule: StoreCallSchedule = StoreCallSchedule(),
+    private val schedule: StoreCallSchedule,
     private val isConnected: () -> Boolean = { true },
     private val isSettling: () -> Boolean = { false },
 ) {
@@ -110,7 +110,7 @@
         }
     }
 
-    private fun watchWaitMs(): Long = schedule.watchWaitMs(failures, isConnected(), isSettling())
+    private fun watchWaitMs(): Long = schedule.watchWaitMs(failures, isConnected(), isSettling(), batchDelayMs())
 
     /** Sends [call]. If handling the result fails unexpectedly, a new snapshot is read later: the watch must not end silently. */
     @Suppress("TooGenericExceptionCaught")
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/PrefixWatcherTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/PrefixWatcherTest.kt
@@ -65,6 +65,7 @@
                 },
             random = Random(1),
             batchDelayMs = { 300 },
+            schedule = StoreCallSchedule(recoveryMs = 4_000),
         )
 
     private fun reply(reply: StoreReply) = pendingCalls.removeFirst().onResult(reply.right())
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/RestoredStoreFleetTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/RestoredStoreFleetTest.kt
@@ -100,6 +100,7 @@
                     listener = listener(host),
                     random = Random(index),
                     batchDelayMs = { BATCH_MS },
+                    schedule = StoreCallSchedule(STABLE_MS),
                     isSettling = { host.cache.isSettling },
                 )
             watcher.start()
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/StoreSimulationTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/StoreSimulationTest.kt
@@ -51,7 +51,16 @@
         val violations = ArrayList<String>()
         private val callTimesMs = ArrayList<Long>()
         private val watcher =
-            PrefixWatcher("", ::send, ::runAfter, this, Random(seed + 1), batchDelayMs = { 300 }, isSettling = { cache.isSettling })
+            PrefixWatcher(
+                "",
+                ::send,
+                ::runAfter,
+                this,
+                Random(seed + 1),
+                batchDelayMs = { 300 },
+                schedule = StoreCallSchedule(recoveryMs = 4_000),
+                isSettling = { cache.isSettling },
+            )
 
         fun run(): List<String> {
             watcher.start()
