--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
@@ -177,6 +177,9 @@
                 method = "GET",
                 target = STATE_PATH,
                 headers = listOf("Host" to address.toString()),
+                // A kept connection may have gone silent since the last fetch.
+                maxConnectionIdleMs = 0,
+                maxIdleConnections = 0,
                 connectTimeoutMs = FETCH_TIMEOUT_MS,
                 timeoutMs = FETCH_TIMEOUT_MS,
             )
