Serve callers of a host that is cut off from all workers through its peers

Cause: each worker was ejected by itself; nothing told a host that is cut off from workers that are gone, and there was no way to a worker but the direct one. Ruled out: late decisions (the host refused within milliseconds), loss of readiness or of reports.

WorkerReach decides that a host is cut off: no connection opens, workers of all upstreams and zones have failed, and peers say in their reports that they reach workers since. A request then goes to the chosen worker through a peer, which only passes it on: key, limits, attempts and budgets are counted once, at the host that the caller reached. RelayPeers spreads requests over the nearest peers. Directories leave out hosts that are cut off. Two workers that accept connections end the cut.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
@@ -11,6 +11,7 @@
 import io.kumquatmill.gateway.metrics.GatewayMetrics
 import io.kumquatmill.gateway.peer.PeerMessage
 import io.kumquatmill.gateway.peer.PeerSocket
+import io.kumquatmill.gateway.relay.RelayHandler
 import io.kumquatmill.gateway.settings.GatewaySettings
 import io.kumquatmill.gateway.store.EventLoopStoreClient
 import io.kumquatmill.gateway.store.HostRegistration
@@ -24,6 +25,7 @@
 import io.kumquatmill.traffic.fleet.EntryHostInfo
 import io.kumquatmill.traffic.model.WorkerEntry
 import io.kumquatmill.traffic.ratelimit.LoanRequest
+import io.kumquatmill.traffic.reach.ReachChange
 import io.kumquatmill.traffic.workerlimit.WorkerLimitChange
 import io.undertow.server.DefaultByteBufferPool
 import kotlinx.serialization.json.Json
@@ -62,7 +64,15 @@
     private val loop: XnioIoThread = xnioWorker.ioThread
     private val bufferPool = DefaultByteBufferPool(false, BUFFER_BYTES, POOLED_BUFFERS, 0)
     private val controller: TrafficController =
-        TrafficController(settings.self, settings.traffic, ::sendLoanRequest, ::onWorkerLimitChange, ::probeWorker, ::onCrashEvent)
+        TrafficController(
+            settings.self,
+            settings.traffic,
+            ::sendLoanRequest,
+            ::onWorkerLimitChange,
+            ::probeWorker,
+            ::onCrashEvent,
+            ::onReachChange,
+        )
     private val httpClient = EventLoopHttpClient(loop, bufferPool, clock)
     private val loanWaiters = LoanWaiters()
     private val callerHandler =
@@ -76,8 +86,19 @@
                 metrics,
                 loanWaiters,
                 settings.maxCallerConnections,
+                settings.peerStateAddress.port,
             ),
         )
+    private val relayHandler: RelayHandler =
+        RelayHandler(
+            controller,
+            httpClient,
+            adapter.headerNames,
+            clock,
+            RequestLog(),
+            metrics,
+            settings.traffic.reach.maxRelays,
+        ) { isServing }
     private val random = Random(settings.self.host.hashCode() xor System.nanoTime().toInt())
     private val storeSchedule = StoreCallSchedule(settings.storeRecoveryMs)
     private val storeClient =
@@ -128,11 +149,17 @@
             loanWaiters,
         ) { isServing }
     private val servers =
-        GatewayServers(settings, adapter, xnioWorker, bufferPool, callerHandler, controller, cache, metrics, clock) { isServing }
+        GatewayServers(settings, adapter, xnioWorker, bufferPool, callerHandler, relayHandler, controller, cache, metrics, clock) {
+            isServing
+        }
     private var isDraining = false
     private var isCallerListenerOpen = false
     private val stopped = CompletableFuture<Boolean>()
 
+    /** Number of requests of callers and peers that were accepted and are not yet answered. */
+    private val openRequestCount: Int
+        get() = callerHandler.activeRequestCount + relayHandler.activeCount
+
     private val isServing: Boolean
         get() = isCallerListenerOpen && controller.isReady && !isDraining
 
@@ -160,7 +187,7 @@
         isDraining = true
         val nowMs = clock.nowMs()
         callerHandler.drain(DrainSchedule.of(nowMs, settings.stopTimeoutMs))
-        log.info("draining host", "openRequests" to callerHandler.activeRequestCount)
+        log.info("draining host", "openRequests" to openRequestCount)
         controller.leave(nowMs)
         peerSynchronizer.sendReport()
         registration.deregister()
@@ -173,10 +200,10 @@
      */
     private fun awaitDrained(sinceMs: Long) {
         val elapsedMs = clock.nowMs() - sinceMs
-        val isDrained = elapsedMs >= settings.stopTimeoutMs * MIN_DRAIN_FRACTION && callerHandler.activeRequestCount == 0
+        val isDrained = elapsedMs >= settings.stopTimeoutMs * MIN_DRAIN_FRACTION && openRequestCount == 0
         if (isDrained || elapsedMs >= settings.stopTimeoutMs - DrainSchedule.EXIT_MARGIN_MS) {
-            log.info("host stopped", "openRequests" to callerHandler.activeRequestCount, "afterMs" to elapsedMs)
-            stopped.complete(callerHandler.activeRequestCount == 0)
+            log.info("host stopped", "openRequests" to openRequestCount, "afterMs" to elapsedMs)
+            stopped.complete(openRequestCount == 0)
         } else {
             runAfter(STOP_POLL_MS) { awaitDrained(sinceMs) }
         }
@@ -221,6 +248,17 @@
     private fun probeWorker(worker: WorkerEntry) =
         httpClient.probe(worker.address, PROBE_TIMEOUT_MS) { controller.onProbed(clock.nowMs(), worker, it) }
 
+    private fun onReachChange(change: ReachChange) {
+        metrics.setCutOff(change.isCutOff)
+        log.warn(
+            if (change.isCutOff) "cut off from all workers: requests go through peers" else "workers reached again",
+            "failedWorkers" to change.failedWorkers,
+            "sinceMs" to change.sinceMs,
+            "peersReachingWorkers" to controller.reachingPeerCount(clock.nowMs()),
+        )
+        peerSynchronizer.sendReportSoon(::runAfter)
+    }
+
     private fun onCrashEvent(event: CrashEvent) {
         metrics.countCrashEvent(event)
         when (event) {
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/GatewayServers.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/GatewayServers.kt
@@ -4,6 +4,7 @@
 import io.kumquatmill.common.time.MonotonicClock
 import io.kumquatmill.gateway.metrics.GatewayMetrics
 import io.kumquatmill.gateway.peer.PeerState
+import io.kumquatmill.gateway.relay.RelayHeaders
 import io.kumquatmill.gateway.settings.GatewaySettings
 import io.kumquatmill.gateway.store.StateCache
 import io.kumquatmill.traffic.control.TrafficController
@@ -26,6 +27,7 @@
     private val xnioWorker: XnioWorker,
     private val bufferPool: ByteBufferPool,
     callerHandler: HttpHandler,
+    private val relayHandler: HttpHandler,
     private val controller: TrafficController,
     private val cache: StateCache,
     private val metrics: GatewayMetrics,
@@ -96,6 +98,7 @@
     }
 
     private fun handlePeerState(exchange: HttpServerExchange) {
+        if (exchange.requestHeaders.contains(RelayHeaders.WORKER)) return relayHandler.handleRequest(exchange)
         if (exchange.requestPath != PeerSynchronizer.STATE_PATH) return exchange.respond(NOT_FOUND)
         val state = PeerState(cache.revision, cache.allEntries())
         exchange.respond(OK, JSON, Json.encodeToString(PeerState.serializer(), state).toByteArray())
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
@@ -65,7 +65,7 @@
         peers.forEach { sendReport(report, it) }
     }
 
-    /** Sends a report before the next one is due, so that peers learn of a crash at once; further calls are collected for a while. */
+    /** Sends a report before the next one is due, so that peers learn of an event at once; further calls are collected for a while. */
     fun sendReportSoon(runAfter: RunAfter) {
         if (isReportScheduled) return
         isReportScheduled = true
@@ -104,6 +104,8 @@
                 workerLimits = controller.workerLimits(nowMs),
                 crashes = controller.crashReport(nowMs),
                 stalePeers = controller.stalePeers(nowMs),
+                workerReachAgeMs = controller.workerReachAgeMs(nowMs),
+                isCutOff = controller.isCutOff,
             )
         logContactChange(report.stalePeers, controller.isIsolated(nowMs))
         return report
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerHandler.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerHandler.kt
@@ -18,6 +18,7 @@
  * Dependencies of request handling, all confined to one event loop.
  *
  * @property maxConnections maximum number of open caller connections
+ * @property peerPort port at which peers take requests to pass on
  */
 class CallerContext(
     val headerNames: HttpHeaderNames,
@@ -28,6 +29,7 @@
     val metrics: GatewayMetrics,
     val loanWaiters: LoanWaiters,
     val maxConnections: Int,
+    val peerPort: Int,
 )
 
 /** Reads requests of callers and starts a [CallerRequest] for each one that is accepted. No request blocks a thread. */
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
@@ -1,9 +1,13 @@
 package io.kumquatmill.gateway.caller
 
+import io.kumquatmill.common.fleet.HostAddress
+import io.kumquatmill.common.id.WorkerId
 import io.kumquatmill.gateway.http.CallResult
 import io.kumquatmill.gateway.http.HttpCall
 import io.kumquatmill.gateway.http.OngoingCall
 import io.kumquatmill.gateway.log.RequestIdentity
+import io.kumquatmill.gateway.relay.RelayHeaders
+import io.kumquatmill.gateway.relay.RelayedCall
 import io.kumquatmill.traffic.control.AttemptResult
 import io.kumquatmill.traffic.control.RequestAction
 import io.kumquatmill.traffic.control.RouteResolution
@@ -103,31 +107,54 @@
 
     private fun send(action: RequestAction.Send) {
         val entry = action.worker.entry
-        context.log.attemptStarted(identity, entry, controller.version, action.worker.load(clock.nowMs()))
+        context.log.attemptStarted(identity, entry, controller.version, action.worker.load(clock.nowMs()), action.relay?.host)
         val hostHeaders =
             listOfNotNull(
                 headerNames.deadline to action.timeoutMs.toString(),
                 headerNames.expectedWorker to entry.id.value,
                 resolved.workspace?.let { headerNames.workspace to it.id.value },
             )
+        val relay = action.relay
+        val relayHeaders =
+            if (relay == null) {
+                emptyList()
+            } else {
+                listOf(RelayHeaders.WORKER to entry.id.value, RelayHeaders.MAX_IDLE_MS to action.maxConnectionIdleMs.toString())
+            }
         val httpCall =
             HttpCall(
-                address = entry.address,
+                address = if (relay == null) entry.address else HostAddress(relay.ip, context.peerPort),
                 method = method,
                 target = target,
-                headers = headers + hostHeaders,
+                headers = headers + hostHeaders + relayHeaders,
                 body = body,
                 maxConnectionIdleMs = action.maxConnectionIdleMs,
-                maxIdleConnections = action.maxIdleConnections,
+                maxIdleConnections = if (relay == null) action.maxIdleConnections else Int.MAX_VALUE,
                 connectTimeoutMs = minOf(CONNECT_TIMEOUT_MS, action.timeoutMs),
             )
-        call = context.httpClient.send(httpCall) { guarded { onCallResult(it) } }
+        call =
+            context.httpClient.send(httpCall) { callResult ->
+                guarded { onAttemptEnded(if (relay == null) directResult(entry.id, callResult) else relayedResult(callResult)) }
+            }
+    }
+
+    private fun directResult(
+        worker: WorkerId,
+        callResult: CallResult,
+    ): AttemptResult {
+        if (callResult is CallResult.Response) controller.onResponse(clock.nowMs(), worker, callResult.isConnectionReused)
+        return toAttemptResult(callResult)
     }
 
-    private fun onCallResult(callResult: CallResult) {
+    private fun relayedResult(callResult: CallResult): AttemptResult =
+        when (val relayed = RelayedCall.of(callResult)) {
+            is RelayedCall.Response -> toAttemptResult(relayed.response)
+            is RelayedCall.Ended -> relayed.result
+        }
+
+    private fun onAttemptEnded(result: AttemptResult) {
         call = null
         val sentRequest = trafficRequest ?: return
-        val result = toAttemptResult(callResult)
         context.log.attemptEnded(id, sentRequest.workers.last(), result)
         context.metrics.countAttempt(result)
         context.metrics.countStatedLimit(result.rateLimit)
@@ -232,4 +259,4 @@
         headerNames.workspace.lowercase(),
         headerNames.expectedWorker.lowercase(),
         headerNames.deadline.lowercase(),
-    )
+    ) + RelayHeaders.names
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/RequestLog.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/RequestLog.kt
@@ -39,12 +39,13 @@
         .setCause(error)
         .log("unexpected error")
 
-    /** Logs that the request is sent to [worker], which is estimated to hold [load] requests. */
+    /** Logs that the request is sent to [worker], which is estimated to hold [load] requests, directly or through the peer [relay]. */
     fun attemptStarted(
         identity: RequestIdentity,
         worker: WorkerEntry,
         version: Long?,
         load: Double,
+        relay: String?,
     ) = logger
         .atInfo()
         .addKeyValue("request", identity.id)
@@ -53,9 +54,28 @@
         .addKeyValue("zone", worker.availabilityZone)
         .addKeyValue("workerRevision", describeRevision(worker.revision))
         .addKeyValue("load", load)
+        .addKeyValue("relay", relay ?: "none")
         .addKeyValue("version", version)
         .log("sent")
 
+    /** Logs what became of the request [id] of the peer at [peerIp], which this host passed on to [worker] or refused to pass on. */
+    fun passedOn(
+        id: String?,
+        peerIp: String,
+        worker: String?,
+        result: String,
+        detail: String?,
+        durationMs: Long,
+    ) = logger
+        .atInfo()
+        .addKeyValue("request", id)
+        .addKeyValue("peer", peerIp)
+        .addKeyValue("worker", worker)
+        .addKeyValue("result", result)
+        .addKeyValue("detail", detail)
+        .addKeyValue("tookMs", durationMs)
+        .log("passed on for a peer")
+
     /** Logs that an attempt at [worker] ended with [result]. */
     fun attemptEnded(
         id: String,
@@ -71,6 +91,7 @@
         when (result) {
             is AttemptResult.Answered -> line.addKeyValue("status", result.status).addLimit(result.rateLimit)
             is AttemptResult.Unreachable -> line.addKeyValue("detail", result.detail)
+            is AttemptResult.RelayFailed -> line.addKeyValue("detail", result.detail)
             is AttemptResult.Unknown -> line.addKeyValue("detail", result.detail)
             is AttemptResult.Shed -> line.addLimit(result.rateLimit)
             is AttemptResult.Misdirected -> line
@@ -132,6 +153,7 @@
         when (this) {
             is AttemptResult.Answered -> "answered"
             is AttemptResult.Unreachable -> "unreachable"
+            is AttemptResult.RelayFailed -> "relay-failed"
             is AttemptResult.Shed -> "shed"
             is AttemptResult.Misdirected -> "misdirected"
             is AttemptResult.Unknown -> "unknown"
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
@@ -21,6 +21,7 @@
     private val attempts = HashMap<String, Counter>()
     private val limitedWorkers = AtomicInteger().also { registry.gauge("kumquatmill.worker.limits", it) }
     private val quarantinedRequests = AtomicInteger().also { registry.gauge("kumquatmill.requests.quarantined", it) }
+    private val cutOff = AtomicInteger().also { registry.gauge("kumquatmill.cut.off", it) }
     private val storeEra = AtomicLong().also { registry.gauge("kumquatmill.store.era", it) }
     private val storeAnswerAgeMs = AtomicLong()
     private val durations = HashMap<String, Timer>()
@@ -76,6 +77,12 @@
     /** Counts a store call that ended with [outcome]. */
     fun countStoreCall(outcome: String) = registry.counter("kumquatmill.store.calls", "outcome", outcome).increment()
 
+    /** Counts a request that this host passed on for a peer, or refused to, by its [result]. */
+    fun countRelay(result: String) = registry.counter("kumquatmill.relays", "result", result).increment()
+
+    /** Sets whether this host is cut off from all workers. */
+    fun setCutOff(isCutOff: Boolean) = cutOff.set(if (isCutOff) 1 else 0)
+
     /** Sets the era of the store, which rises each time that the store comes back from an older copy. */
     fun setStoreEra(era: Long) = storeEra.set(era)
 
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/ReportFrame.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/ReportFrame.kt
@@ -20,7 +20,10 @@
     @SerialName("d") val version: Long? = null,
     @SerialName("l") val workerLimits: WorkerLimitColumns = WorkerLimitColumns(),
     @SerialName("c") val crashes: CrashColumns = CrashColumns(),
+    @SerialName("o") val workerReachAgeMs: Long? = null,
+    @SerialName("x") val isCutOff: Boolean = false,
 ) {
+    /** Throws [IllegalArgumentException] if a time is negative. */
     fun toReport() =
         PeerReport(
             host = host,
@@ -37,6 +40,8 @@
             workerLimits = workerLimits.toObservations(),
             crashes = crashes.toReport(),
             stalePeers = stalePeers,
+            workerReachAgeMs = workerReachAgeMs?.also { require(it >= 0) { "negative time since a worker responded: $it" } },
+            isCutOff = isCutOff,
         )
 
     companion object {
@@ -55,6 +60,8 @@
                 version = report.version,
                 workerLimits = WorkerLimitColumns.of(report.workerLimits),
                 crashes = CrashColumns.of(report.crashes),
+                workerReachAgeMs = report.workerReachAgeMs,
+                isCutOff = report.isCutOff,
             )
     }
 }
--- /dev/null
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/relay/RelayResult.kt
@@ -0,0 +1,72 @@
+package io.kumquatmill.gateway.relay
+
+import io.kumquatmill.gateway.http.CallResult
+import io.kumquatmill.traffic.control.AttemptResult
+
+/** How a request that a host passed on for a peer ended; [wireName] is its name between hosts. */
+internal enum class RelayResult(
+    val wireName: String,
+) {
+    /** The worker responded over a new connection. */
+    RESPONSE("response"),
+
+    /** The worker responded over a connection that had carried other responses before. */
+    RESPONSE_REUSED("response-reused"),
+
+    /** No connection to the worker could be opened; nothing was sent. */
+    UNREACHABLE("unreachable"),
+
+    /** The request was sent, and no complete response was received. */
+    INCOMPLETE("incomplete"),
+
+    /** The host did not pass the request on. */
+    REFUSED("refused"),
+    ;
+
+    companion object {
+        private val byWireName = entries.associateBy { it.wireName }
+
+        /** Returns the result that [name] stands for, or null if it is none. */
+        fun of(name: String?): RelayResult? = byWireName[name]
+    }
+}
+
+/** What a call to a peer that was to pass a request on tells about the attempt. */
+internal sealed interface RelayedCall {
+    /** The worker's response, as if it had been received directly. */
+    class Response(
+        val response: CallResult.Response,
+    ) : RelayedCall
+
+    /** The attempt ended without a response of the worker. */
+    class Ended(
+        val result: AttemptResult,
+    ) : RelayedCall
+
+    companion object {
+        /** Interprets the [result] of the call to the peer. Only the peer's own word counts for the request not having been sent. */
+        fun of(result: CallResult): RelayedCall =
+            when (result) {
+                is CallResult.NotSent -> Ended(AttemptResult.RelayFailed("peer: ${result.detail}"))
+                is CallResult.Incomplete -> Ended(AttemptResult.Unknown("peer: ${result.detail}"))
+                is CallResult.Response -> ofResponse(result)
+            }
+
+        private fun ofResponse(response: CallResult.Response): RelayedCall {
+            val detail = response.header(RelayHeaders.DETAIL).orEmpty()
+            return when (RelayResult.of(response.header(RelayHeaders.RESULT))) {
+                RelayResult.RESPONSE -> response.fromWorker(isReused = false)
+                RelayResult.RESPONSE_REUSED -> response.fromWorker(isReused = true)
+                RelayResult.UNREACHABLE -> Ended(AttemptResult.Unreachable("from peer: $detail"))
+                RelayResult.INCOMPLETE -> Ended(AttemptResult.Unknown("from peer: $detail"))
+                RelayResult.REFUSED -> Ended(AttemptResult.RelayFailed("refused: $detail"))
+                null -> Ended(AttemptResult.Unknown("peer: the answer names no result"))
+            }
+        }
+
+        private fun CallResult.Response.fromWorker(isReused: Boolean): Response {
+            RelayHeaders.names.forEach { headers.remove(it) }
+            return Response(CallResult.Response(status, headers, body, isReused))
+        }
+    }
+}
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/peer/PeerMessageCodecTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/peer/PeerMessageCodecTest.kt
@@ -68,6 +68,18 @@
             }
     }
 
+    @Test
+    fun `whether a host reaches workers is decoded as it was sent, also if it never has`() =
+        listOf(report().copy(workerReachAgeMs = 40), report().copy(workerReachAgeMs = null, isCutOff = true)).forEach { sent ->
+            assertEquals(sent, PeerMessageCodec.decode(PeerMessageCodec.encode(PeerMessage(report = sent))).report)
+        }
+
+    @Test
+    fun `a report with a negative time since a worker responded is malformed`() {
+        val bytes = PeerMessageCodec.encode(PeerMessage(report = report(0).copy(workerReachAgeMs = -1)))
+        assertFailsWith<MalformedPeerMessageException> { PeerMessageCodec.decode(bytes) }
+    }
+
     private fun crashReport(crashes: Int = 2) =
         CrashReport(
             crashes = (1..crashes).map { CrashReport.Crash(RequestFingerprint(Long.MIN_VALUE + it), WorkerTag(-it), 86_400_000, 90) },
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/AttemptResult.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/AttemptResult.kt
@@ -25,6 +25,11 @@
         val isRefused: Boolean = false,
     ) : AttemptResult
 
+    /** The peer that should have passed the request on did not, and no byte reached a worker; [detail] states the cause for the logs. */
+    data class RelayFailed(
+        val detail: String,
+    ) : AttemptResult
+
     /** The worker shed the request: it has not executed it and never will. [load] is null if it did not report its load. */
     data class Shed(
         val load: WorkerLoad?,
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/RequestAction.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/RequestAction.kt
@@ -1,5 +1,6 @@
 package io.kumquatmill.traffic.control
 
+import io.kumquatmill.traffic.fleet.EntryHostInfo
 import io.kumquatmill.traffic.placement.TrackedWorker
 
 /** What to do next with a request. */
@@ -10,12 +11,14 @@
      * @property timeoutMs time in milliseconds until the caller must get a final response
      * @property maxConnectionIdleMs how long a reused connection may have been idle, in milliseconds; 0 requires a new connection
      * @property maxIdleConnections idle connections to the worker that may stay open beside a new one
+     * @property relay peer through which the request is sent, or null if it is sent directly
      */
     data class Send(
         val worker: TrackedWorker,
         val timeoutMs: Long,
         val maxConnectionIdleMs: Long,
         val maxIdleConnections: Int,
+        val relay: EntryHostInfo? = null,
     ) : RequestAction
 
     /** Resume the request after [afterMs] milliseconds, when the workspace may have received tokens from a peer. */
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
@@ -3,6 +3,7 @@
 import io.kumquatmill.common.hash.stableHash
 import io.kumquatmill.common.id.AvailabilityZoneId
 import io.kumquatmill.common.id.RegionId
+import io.kumquatmill.common.id.WorkerId
 import io.kumquatmill.traffic.crash.CrashEvent
 import io.kumquatmill.traffic.crash.CrashReport
 import io.kumquatmill.traffic.crash.CrashingRequests
@@ -27,12 +28,16 @@
 import io.kumquatmill.traffic.ratelimit.LoanRequest
 import io.kumquatmill.traffic.ratelimit.RateLimitDecision
 import io.kumquatmill.traffic.ratelimit.WorkspaceRateLimiter
+import io.kumquatmill.traffic.reach.ReachChange
+import io.kumquatmill.traffic.reach.RelayPeers
+import io.kumquatmill.traffic.reach.WorkerReach
 import io.kumquatmill.traffic.retry.RetryBudget
 import io.kumquatmill.traffic.route.RouteIndex
 import io.kumquatmill.traffic.route.WeightedRoundRobin
 import io.kumquatmill.traffic.workerlimit.WorkerLimitChange
 import io.kumquatmill.traffic.workerlimit.WorkerLimits
 import kotlin.math.min
+import kotlin.random.Random
 
 /**
  * Makes all decisions of an entry host on its requests, without performing any I/O.
@@ -43,6 +48,8 @@
  * @param onWorkerLimitChange called when a worker's rate limit is set, changed or lifted
  * @param probeWorker opens a connection to a worker, the result of which is passed to [onProbed]
  * @param onCrashEvent called when a worker has ended under a request, and when a request is quarantined or cleared
+ * @param onReachChange called when this host is cut off from all workers, and when it reaches them again
+ * @param random chooses the workers to probe and the peers through which requests are sent
  */
 class TrafficController(
     private val self: EntryHostInfo,
@@ -51,6 +58,8 @@
     onWorkerLimitChange: (WorkerLimitChange) -> Unit = { },
     probeWorker: (WorkerEntry) -> Unit = { },
     onCrashEvent: (CrashEvent) -> Unit = { },
+    private val onReachChange: (ReachChange) -> Unit = { },
+    random: Random = Random.Default,
 ) {
     private val fleet = FleetView(self, settings.fleet, minFleetSize = settings.regionByZone.size)
     private val rateLimiter = WorkspaceRateLimiter(fleet, settings.rateLimit, sendLoanRequest)
@@ -59,6 +68,9 @@
         WorkerRegistry(self.host, settings.placement, workerLimits, settings.coldRateFactor, settings.coldRateSlack)
     private val placement = Placement(workers, settings.regionByZone, AvailabilityZoneId(self.availabilityZone), settings.placement)
     private val crashingRequests = CrashingRequests(self.host, settings.crash, probeWorker, onCrashEvent)
+    private val reach = WorkerReach(settings.reach, random, probeWorker, ::onReachChanged)
+    private val relays =
+        RelayPeers(settings.regionByZone[AvailabilityZoneId(self.availabilityZone)], settings.reach, random)
     private val retryBudget = RetryBudget(settings.retryRatio, settings.retryReserve, settings.retryWindowMs)
     private val roundRobin = WeightedRoundRobin()
     private val callerRetries = CallerRetryDetector()
@@ -87,6 +99,10 @@
     val isReady: Boolean
         get() = state.desired != null && state.workers.isNotEmpty()
 
+    /** Whether this host is cut off from all workers and sends requests through its peers. */
+    val isCutOff: Boolean
+        get() = reach.isCutOff
+
     /** Applies a new [state], but keeps the current desired state if the new one is older or missing. */
     fun update(
         nowMs: Long,
@@ -134,7 +150,46 @@
         nowMs: Long,
         worker: WorkerEntry,
         result: ProbeResult,
-    ) = crashingRequests.onProbed(nowMs, worker, result)
+    ) {
+        // While this host is cut off, a refused connection says nothing of the worker.
+        if (!isCutOff) crashingRequests.onProbed(nowMs, worker, result)
+        if (result == ProbeResult.ACCEPTED) reach.onConnected(nowMs, worker.id) else reach.onConnectFailed(nowMs, worker.id)
+    }
+
+    /** Records that [worker] responded over a new connection of this host, or over one that was in use before if [isReused]. */
+    fun onResponse(
+        nowMs: Long,
+        worker: WorkerId,
+        isReused: Boolean,
+    ) = if (isReused) reach.onResponse(nowMs) else reach.onConnected(nowMs, worker)
+
+    private fun onReachChanged(change: ReachChange) {
+        workers.forgetFailures()
+        onReachChange(change)
+    }
+
+    /** Returns the time in milliseconds since a worker last responded to this host directly, or null if none has. */
+    fun workerReachAgeMs(nowMs: Long): Long? = reach.reachAgeMs(nowMs)
+
+    /** Returns the number of peers that reach workers. */
+    fun reachingPeerCount(nowMs: Long): Int = fleet.reachingPeers(nowMs).size
+
+    /**
+     * Returns the worker [id] if this host may pass requests of its peers on to it: it is known, not draining and not in an evacuated zone.
+     */
+    fun relayTarget(id: WorkerId): WorkerEntry? =
+        state.workers[id]?.takeIf { !it.isDraining && it.availabilityZone !in state.evacuatedZones }
+
+    /** Returns whether [ip] is the address of a known host of the fleet. */
+    fun isHost(ip: String): Boolean = fleet.hosts().any { it.ip == ip }
+
+    /** Records that the connection to [worker] was lost before it responded to a peer's request that was sent at [sentAtMs]. */
+    fun onRelayedRequestLost(
+        nowMs: Long,
+        sentAtMs: Long,
+        worker: WorkerEntry,
+        fingerprint: RequestFingerprint,
+    ) = crashingRequests.onLost(nowMs, sentAtMs, worker, fingerprint)
 
     /** Returns the time in milliseconds for which changes of the store are collected before they are applied. */
     fun changeBatchMs(): Long = fleet.changeBatchMs()
@@ -150,7 +205,7 @@
         nowMs: Long,
         region: String,
         isServing: Boolean,
-    ): List<EntryHostInfo> = fleet.servingHosts(nowMs, region, isServing)
+    ): List<EntryHostInfo> = fleet.servingHosts(nowMs, region, isServing, isCutOff)
 
     /** Returns this host's demand by workspace, in requests per second, to be reported to peers. */
     fun demandPerS(nowMs: Long): Map<WorkspaceTag, Double> = rateLimiter.demandPerS(nowMs)
@@ -185,6 +240,7 @@
         workers.updateLimits(nowMs, fleet.hostNames())
         workerLimits.updateParts(nowMs)
         crashingRequests.tick(nowMs)
+        reach.tick(nowMs, state.workers.values) { fleet.reachingPeers(nowMs).map { it.ageMs } }
     }
 
     /** Resolves the route and workspace of a request for [host] and [path] that came with [key], or without one if it is null. */
@@ -286,7 +342,7 @@
             }
         request.currentAttempt = null
         val worker = attempt.worker
-        worker.onFinished(attempt.sentAtMs)
+        finishAttempt(attempt)
         val mayLift = result is AttemptResult.Answered && result.status < SERVER_ERROR
         workerLimits.onResponse(nowMs, attempt.sentAtMs, worker.entry, result.rateLimit, mayLift)
         recordCrashSigns(nowMs, request, attempt, result)
@@ -301,7 +357,14 @@
                 request.possibleExecutions--
                 retryUnexecuted(nowMs, request, isBudgetExempt = false)
             }
+            is AttemptResult.RelayFailed -> {
+                attempt.relay?.let { relays.onFailed(nowMs, it) }
+                request.triedWorkers -= worker.entry.id
+                request.possibleExecutions--
+                retryUnexecuted(nowMs, request, isBudgetExempt = true)
+            }
             is AttemptResult.Unreachable -> {
+                if (attempt.relay == null) reach.onConnectFailed(nowMs, worker.entry.id)
                 worker.onFailed(nowMs, isUnreachable = true)
                 request.possibleExecutions--
                 retryUnexecuted(nowMs, request, isBudgetExempt = true)
@@ -337,13 +400,19 @@
     ) {
         val attempt = request.currentAttempt ?: return
         request.currentAttempt = null
-        attempt.worker.onFinished(attempt.sentAtMs)
+        finishAttempt(attempt)
         if (result != null) recordCrashSigns(nowMs, request, attempt, result)
         if (isWorkerSlow) {
+            attempt.relay?.let { relays.onFailed(nowMs, it) }
             placement.onTimedOut(nowMs, request.route, attempt.worker, attempt.wasCached, (nowMs - attempt.sentAtMs).toDouble())
         }
     }
 
+    private fun finishAttempt(attempt: TrafficRequest.Attempt) {
+        attempt.worker.onFinished(attempt.sentAtMs)
+        attempt.relay?.let { relays.onFinished(it) }
+    }
+
     /** Records what the [result] of [attempt] says about whether the worker's process has ended. */
     private fun recordCrashSigns(
         nowMs: Long,
@@ -355,12 +424,12 @@
         when (result) {
             // A failure may come from another layer, and without the request having been run.
             is AttemptResult.Answered -> if (result.status < SERVER_ERROR) crashingRequests.onCompleted(nowMs, request.fingerprint)
-            is AttemptResult.Unreachable -> if (result.isRefused) crashingRequests.onRefused(nowMs, worker.entry)
+            is AttemptResult.Unreachable -> if (result.isRefused && !isCutOff) crashingRequests.onRefused(nowMs, worker.entry)
             is AttemptResult.Unknown ->
                 if (result.isConnectionLost && isExpectedToRun(worker)) {
                     crashingRequests.onLost(nowMs, attempt.sentAtMs, worker.entry, request.fingerprint)
                 }
-            is AttemptResult.Shed, is AttemptResult.Misdirected -> Unit
+            is AttemptResult.Shed, is AttemptResult.Misdirected, is AttemptResult.RelayFailed -> Unit
         }
     }
 
@@ -445,6 +514,8 @@
         choice: PlacementChoice.Chosen,
     ): RequestAction.Send {
         val worker = choice.worker
+        val relay = if (isCutOff) chooseRelay(nowMs, query, worker) else null
+        relay?.let { relays.onSent(it.host) }
         if (request.attempts == 0) retryBudget.onFirstAttempt(nowMs, request.upstream, fleet.size())
         request.currentAttempt =
             TrafficRequest.Attempt(
@@ -453,6 +524,7 @@
                 nowMs,
                 wasCached = query.hasAffinityKey && worker.hasCached(query.affinityHash),
                 hadFreeSlot = choice.waitMs == 0.0,
+                relay = relay?.host,
             )
         request.attempts++
         request.possibleExecutions++
@@ -464,9 +536,20 @@
             query.timeLeftMs,
             maxConnectionIdleMs,
             maxIdleConnections = worker.connectionLimit - worker.inFlight,
+            relay = relay?.sender,
         )
     }
 
+    private fun chooseRelay(
+        nowMs: Long,
+        query: PlacementQuery,
+        worker: TrackedWorker,
+    ): PeerReport? {
+        val workerRegion = settings.regionByZone[worker.entry.availabilityZone]
+        val reaching = fleet.reachingPeers(nowMs).filter { it.ageMs <= settings.reach.peerReachMaxAgeMs }.map { it.report }
+        return relays.choose(nowMs, reaching, workerRegion, query.homeRegions)
+    }
+
     private fun refuse(
         nowMs: Long,
         request: TrafficRequest,
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficRequest.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficRequest.kt
@@ -52,5 +52,6 @@
         val sentAtMs: Long,
         val wasCached: Boolean,
         val hadFreeSlot: Boolean,
+        val relay: String?,
     )
 }
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficSettings.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficSettings.kt
@@ -6,6 +6,7 @@
 import io.kumquatmill.traffic.fleet.FleetSettings
 import io.kumquatmill.traffic.placement.PlacementSettings
 import io.kumquatmill.traffic.ratelimit.RateLimitSettings
+import io.kumquatmill.traffic.reach.ReachSettings
 import io.kumquatmill.traffic.workerlimit.WorkerLimitSettings
 
 /**
@@ -30,4 +31,5 @@
     val placement: PlacementSettings = PlacementSettings(),
     val workerLimit: WorkerLimitSettings = WorkerLimitSettings(),
     val crash: CrashSettings = CrashSettings(),
+    val reach: ReachSettings = ReachSettings(),
 )
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/FleetView.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/FleetView.kt
@@ -124,17 +124,37 @@
     fun changeBatchMs(): Long =
         (settings.changeBatchMs * size() / settings.smallFleetMaxHosts).coerceIn(settings.changeBatchMs, settings.maxChangeBatchMs)
 
-    /** Returns the live, serving hosts of [region], or of all regions if it has none; [isServing] states whether this host serves. */
+    /**
+     * Returns the live, serving hosts of [region], or of all regions if it has none; hosts that are cut off from all workers are left out
+     * unless all are.
+     *
+     * @param isServing whether this host serves
+     * @param isCutOff whether this host is cut off from all workers
+     */
     fun servingHosts(
         nowMs: Long,
         region: String,
         isServing: Boolean,
+        isCutOff: Boolean = false,
     ): List<EntryHostInfo> {
-        val live = peers.values.filter { isLive(nowMs, it) && it.report?.isServing == true }.map { it.record }
-        val all = if (isServing) live + self else live
+        val live =
+            peers.values
+                .filter { isLive(nowMs, it) }
+                .mapNotNull { it.report }
+                .filter { it.isServing }
+        val reaching = live.filterNot { it.isCutOff }.map { it.sender } + listOf(self).filter { isServing && !isCutOff }
+        val all = reaching.ifEmpty { live.map { it.sender } + listOf(self).filter { isServing } }
         return all.filter { it.region == region }.ifEmpty { all }
     }
 
+    /** Returns the serving peers with a fresh report that have reached workers directly and are not cut off from them. */
+    fun reachingPeers(nowMs: Long): List<ReachingPeer> =
+        peers.values.filter { isFresh(nowMs, it) }.mapNotNull { peer ->
+            val report = peer.report?.takeIf { it.isServing && !it.isCutOff }
+            val reportAgeMs = nowMs - (peer.reportedAtMs ?: nowMs)
+            report?.workerReachAgeMs?.let { ReachingPeer(report, it + reportAgeMs) }
+        }
+
     /** Returns the time of the first call, which counts as this host's start. */
     private fun startTimeMs(nowMs: Long): Long = startedAtMs ?: nowMs.also { startedAtMs = it }
 
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/PeerReport.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/PeerReport.kt
@@ -15,6 +15,8 @@
  * @property workerLimits the host's own observations of the rates that workers take
  * @property crashes what the host knows of requests under which workers have ended
  * @property stalePeers names of the peers without a fresh report
+ * @property workerReachAgeMs time in milliseconds since a worker last responded to the host directly, or null if none has
+ * @property isCutOff whether the host is cut off from all workers and sends requests through its peers
  */
 data class PeerReport(
     val host: String,
@@ -31,6 +33,8 @@
     val workerLimits: Map<WorkerTag, WorkerLimitObservation> = emptyMap(),
     val crashes: CrashReport = CrashReport(),
     val stalePeers: List<String> = emptyList(),
+    val workerReachAgeMs: Long? = null,
+    val isCutOff: Boolean = false,
 ) {
     /** Record of the host that sent this report. */
     val sender: EntryHostInfo
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/TrackedWorker.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/TrackedWorker.kt
@@ -159,6 +159,14 @@
         ejectedUntilMs = nowMs + min(settings.maxEjectionMs, settings.baseEjectionMs shl doublings)
     }
 
+    /** Forgets failures and slow responses, which were due to the way to the worker. */
+    internal fun forgetFailures() {
+        consecutiveFailures = 0
+        ejectedUntilMs = Long.MIN_VALUE
+        smoothedFailureRatio = 0.0
+        smoothedSlowdown = 1.0
+    }
+
     /** Records that the address belongs to another worker; no requests are sent there until the entry changes. */
     internal fun onMisdirected() {
         isLeaving = true
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/WorkerRegistry.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/WorkerRegistry.kt
@@ -70,6 +70,9 @@
     fun workersOf(upstream: UpstreamId): List<TrackedWorker> =
         workersByUpstream[upstream].orEmpty().filter { it.entry.availabilityZone !in evacuatedZones }
 
+    /** Forgets the failures of all workers, because they are reached in another way from now on. */
+    fun forgetFailures() = workers.values.forEach { it.forgetFailures() }
+
     private fun updateWorker(
         nowMs: Long,
         entry: WorkerEntry,
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/fleet/FleetViewTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/fleet/FleetViewTest.kt
@@ -36,6 +36,26 @@
         assertEquals(setOf("h1"), servingNames(10))
     }
 
+    @Test
+    fun `a host that is cut off from all workers is not offered to callers unless all are`() {
+        fleet.onReport(0, report(host("h2")).copy(isCutOff = true))
+        assertEquals(setOf("h1"), servingNames(0))
+        fleet.onReport(0, report(host("h3", "west-a")))
+        assertEquals(listOf("h3"), fleet.servingHosts(0, "east", isServing = true, isCutOff = true).map { it.host })
+        fleet.onReport(1, report(host("h3", "west-a"), sequence = 2).copy(isCutOff = true))
+        assertEquals(setOf("h1", "h2"), fleet.servingHosts(1, "east", isServing = true, isCutOff = true).map { it.host }.toSet())
+    }
+
+    @Test
+    fun `peers that reach workers are those with a fresh report that says so`() {
+        fleet.onReport(0, report(host("h2")).copy(workerReachAgeMs = 40))
+        fleet.onReport(0, report(host("h3")).copy(workerReachAgeMs = 40, isCutOff = true))
+        fleet.onReport(0, report(host("h4"), isServing = false).copy(workerReachAgeMs = 40))
+        fleet.onReport(0, report(host("h5")))
+        assertEquals(listOf("h2" to 1_040L), fleet.reachingPeers(1_000).map { it.report.host to it.ageMs })
+        assertEquals(emptyList(), fleet.reachingPeers(1_251).map { it.report.host })
+    }
+
     @Test
     fun `a large fleet collects changes of the store for longer, up to a bound`() {
         assertEquals(300, fleet.changeBatchMs())
