--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/CallResult.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/CallResult.kt
@@ -26,10 +26,12 @@
 
     /**
      * The request was sent, at least in part, and no complete response was received. The server may have executed it;
-     * [detail] states the cause, and [isConnectionLost] whether the connection ended before the head of a response.
+     * [detail] states the cause, [isConnectionLost] whether the connection ended before the head of a response, and [isTooLong] whether the
+     * response is longer than this host accepts.
      */
     class Incomplete(
         val detail: String,
         val isConnectionLost: Boolean = false,
+        val isTooLong: Boolean = false,
     ) : CallResult
 }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/EventLoopHttpClient.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/EventLoopHttpClient.kt
@@ -178,7 +178,7 @@
             markFinished()
             closeSocket()
             idleConnections.closeAll(call.address)
-            onResult(CallResult.Incomplete(detail, isConnectionLost))
+            onResult(CallResult.Incomplete(detail, isConnectionLost, buffer.isTooLong))
         }
 
         private fun onConnectTimeout() {
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/ResponseBuffers.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/ResponseBuffers.kt
@@ -26,9 +26,14 @@
         var size: Int = 0
             private set
 
+        /** Whether a part was refused because the response is too long. */
+        var isTooLong: Boolean = false
+            private set
+
         /** Adds [part], or returns why there is no room for it. */
         fun add(part: ByteArray): String? {
-            if (size + part.size > maxResponseBytes) return "the answer is longer than $maxResponseBytes bytes"
+            isTooLong = size + part.size > maxResponseBytes
+            if (isTooLong) return "the answer is longer than $maxResponseBytes bytes"
             val neededBytes = (size + part.size - FREE_BYTES_PER_RESPONSE).coerceAtLeast(0L) - reservedHere
             if (neededBytes > 0 &&
                 reservedBytes + neededBytes > maxTotalBytes
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/EventLoopStoreClient.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/EventLoopStoreClient.kt
@@ -55,7 +55,13 @@
         when (result) {
             is CallResult.Response -> decode(call, result)
             is CallResult.NotSent -> StoreError.Unavailable(result.detail).left()
-            is CallResult.Incomplete -> StoreError.Unknown(result.detail).left()
+            is CallResult.Incomplete ->
+                // Changes that do not fit into one answer are read as a snapshot, which comes in pages.
+                if (call is StoreCall.Watch && result.isTooLong) {
+                    StoreError.HistoryGone(call.afterRevision).left()
+                } else {
+                    StoreError.Unknown(result.detail).left()
+                }
         }
 
     private fun decode(
