--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/reach/CutOffHostSimulation.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/reach/CutOffHostSimulation.kt
@@ -13,6 +13,7 @@
 import io.kumquatmill.traffic.fleet.HostFault
 import io.kumquatmill.traffic.fleet.PeerReport
 import io.kumquatmill.traffic.model.WorkerEntry
+import io.kumquatmill.traffic.route
 import io.kumquatmill.traffic.settings
 import io.kumquatmill.traffic.steeringState
 import io.kumquatmill.traffic.worker
@@ -27,6 +28,7 @@
  * Simulates a fleet of which one host, a zone or a region of hosts is cut off from all workers for a while, beside faults of hosts. Callers
  * send requests to all hosts alike.
  *
+ * @param timeoutMs time limit of the requests
  * @param areWorkersDown whether no worker takes connections during the cut, from whichever host
  */
 internal class CutOffHostSimulation(
@@ -38,6 +40,7 @@
     private val reachSettings: ReachSettings = ReachSettings(),
     private val areWorkersDown: Boolean = false,
     private val requestsPerS: Int = hostCount * 20,
+    private val timeoutMs: Long = 2_000,
 ) : FleetSimulation(hostCount, faults, seed, faultsFromMs = CUT_FROM_MS - 1_000, durationMs = DURATION_MS) {
     private class Pending(
         val host: Host,
@@ -114,7 +117,10 @@
                 random = random,
             )
         controller.updateHosts(nowMs, infos)
-        controller.update(nowMs, steeringState(workers, desiredState(maxConnections = MAX_CONNECTIONS)))
+        controller.update(
+            nowMs,
+            steeringState(workers, desiredState(routes = listOf(route(timeoutMs = timeoutMs)), maxConnections = MAX_CONNECTIONS)),
+        )
         return controller
     }
 
@@ -146,19 +152,19 @@
 
     private fun request(host: Host) {
         val resolved = host.controller.resolve("shop.example", "/lookup/1", "key-alpha") as RouteResolution.Resolved
-        val isLong = nowMs >= CUT_FROM_MS + STABLE_MS && nowMs < CUT_UNTIL_MS - TIMEOUT_MS
+        val isLong = nowMs >= CUT_FROM_MS + STABLE_MS && nowMs < CUT_UNTIL_MS - timeoutMs
         val canBePassedOn = host.info.host !in cutHosts || nowMs >= CUT_UNTIL_MS || hosts.any { it.info.host !in cutHosts && isInTouch(it) }
-        val isCounted = canBePassedOn && isInTouch(host) && (isLong || nowMs >= CUT_UNTIL_MS + BACK_MS) && nowMs < DURATION_MS - TIMEOUT_MS
+        val isCounted = canBePassedOn && isInTouch(host) && (isLong || nowMs >= CUT_UNTIL_MS + BACK_MS) && nowMs < DURATION_MS - timeoutMs
         val key = "k${random.nextInt(KEYS)}"
         val (request, action) =
-            host.controller.begin(timeOf(host), resolved, key, "r${eventCount++}", deadlineMs = TIMEOUT_MS, fingerprint = anyFingerprint)
+            host.controller.begin(timeOf(host), resolved, key, "r${eventCount++}", deadlineMs = timeoutMs, fingerprint = anyFingerprint)
         val tally = if (isCounted) tally(host) else null
         if (request == null) {
             tally?.run { sent++ }
             return
         }
         val pending = Pending(host, request, tally)
-        after(TIMEOUT_MS) {
+        after(timeoutMs) {
             if (!pending.isFinished) {
                 finish(pending, "timed out")
                 ifRunning(host) { host.controller.abandon(timeOf(host), request, isWorkerSlow = true) }
@@ -293,7 +299,6 @@
         /** Time after the start of a cut from which callers must be served, and time after its end. */
         const val STABLE_MS = 4_000L
         private const val BACK_MS = 2_000L
-        private const val TIMEOUT_MS = 2_000L
         private const val WORKERS = 24
         private const val SLOTS = 12
         private const val MAX_CONNECTIONS = 100_000
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/reach/CutOffHostSimulationTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/reach/CutOffHostSimulationTest.kt
@@ -14,11 +14,12 @@
         seeds: Int,
         faults: Set<HostFault> = emptySet(),
         scopes: List<CutScope> = CutScope.entries,
+        timeoutMs: Long = 2_000,
     ): List<String> =
         (firstSeed until firstSeed + seeds).flatMap { seed ->
             scopes.flatMap { scope ->
                 CutMode.entries.flatMap { mode ->
-                    val simulation = CutOffHostSimulation(hostCount, faults, seed, scope, mode).run()
+                    val simulation = CutOffHostSimulation(hostCount, faults, seed, scope, mode, timeoutMs = timeoutMs).run()
                     val run = "seed $seed, $scope, $mode"
                     val served = "${simulation.cut.served} of ${simulation.cut.sent}"
                     val back = simulation.after
@@ -51,6 +52,10 @@
         assertEquals(emptyList(), violations(hostCount = 37, seeds = 1, faults = single.toSet(), scopes = listOf(CutScope.ZONE)))
     }
 
+    @Test
+    fun `requests that hang since the cut began do not keep later ones from being served`() =
+        assertEquals(emptyList(), violations(hostCount = 7, seeds = 3, timeoutMs = 7_000))
+
     @Test
     fun `no host considers itself cut off when the workers are gone`() {
         (firstSeed until firstSeed + 5).forEach { seed ->
