--- a/review/src/review/Store.java
+++ b/review/src/review/Store.java
@@ -19,6 +19,7 @@
     private record Item(String key, String value, long rev, long createdRev, long lease) {}
 
     private static final int PAGE = 500;
+    private static final int PAGE_BYTES = 1_048_576;
     private final HttpServer server;
     private final TreeMap<String, Item> items = new TreeMap<>();
     private final List<Item> history = new ArrayList<>();
@@ -130,8 +131,14 @@
     private String range(String prefix, String after) {
         List<Item> found = items.values().stream()
             .filter(item -> item.key.startsWith(prefix) && (after == null || item.key.compareTo(after) > 0)).toList();
-        List<String> page = found.stream().limit(PAGE).map(Store::json).toList();
-        return "{\"items\":[" + String.join(",", page) + "],\"hasMore\":" + (found.size() > PAGE) + ",\"storeRevision\":" + revision + "}";
+        List<String> page = new ArrayList<>();
+        int bytes = 0;
+        for (Item item : found) {
+            bytes += item.value.length();
+            if (page.size() == PAGE || (!page.isEmpty() && bytes > PAGE_BYTES)) break;
+            page.add(json(item));
+        }
+        return "{\"items\":[" + String.join(",", page) + "],\"hasMore\":" + (found.size() > page.size()) + ",\"storeRevision\":" + revision + "}";
     }
 
     @SuppressWarnings("unchecked")
