--- a/review/src/review/Desired.java
+++ b/review/Desired.java
@@ -1,6 +1,6 @@
 package review;
 
-/** Desired states as `fleetbench wire` shows them: one route that is safe and one that is not, to one service. */
+/** Desired states with one route that is safe and one that is not, to one service. */
 final class Desired {
     static final String SAFE = "/lohu930/";
     static final String UNSAFE = "/pufi791/";
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")"
 rm -rf build
 mkdir -p build
-javac --release 17 -d build src/review/*.java
+javac --release 17 -d build *.java
