Log which connection carried an attempt, what it had carried, and why a request is taken for not run

The hypotheses of the incident differ in whether a connection that brought a refusal carries the same request again; no line said so. Each connection has a number, counts its requests and knows the ids of the last 512 by their hashes; 'ended' and 'passed on for a peer' state connectionId, exchange and isRepeat, also for attempts without an answer, and 'ended' states notRunBecause. A connection that has carried 512 requests is closed, so that its memory stays bounded (4 KB).

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
@@ -3,6 +3,7 @@
 import io.kumquatmill.common.fleet.HostAddress
 import io.kumquatmill.common.id.WorkerId
 import io.kumquatmill.gateway.http.CallResult
+import io.kumquatmill.gateway.http.ConnectionUse
 import io.kumquatmill.gateway.http.HttpCall
 import io.kumquatmill.gateway.http.OngoingCall
 import io.kumquatmill.gateway.log.AnswerSummary
@@ -50,6 +51,7 @@
     private var call: OngoingCall? = null
     private var workerResponse: CallResult.Response? = null
     private var lastAnswer: AnswerSummary? = null
+    private var lastUse: ConnectionUse? = null
     private var deadlineTimer: XnioExecutor.Key? = null
     private var loanWait: LoanWait? = null
     private var isCallerDisconnected = false
@@ -154,6 +156,7 @@
                 maxConnectionIdleMs = action.maxConnectionIdleMs,
                 maxIdleConnections = if (relay == null) action.maxIdleConnections else Int.MAX_VALUE,
                 connectTimeoutMs = minOf(CONNECT_TIMEOUT_MS, action.timeoutMs),
+                requestId = id,
                 isOwnResponse = { identityFlaw(it, id, headerNames) == null },
             )
         call =
@@ -167,6 +170,7 @@
         callResult: CallResult,
     ): AttemptResult {
         if (callResult is CallResult.Response) controller.onResponse(clock.nowMs(), worker, callResult.isConnectionReused)
+        lastUse = callResult.use
         return toAttemptResult(callResult)
     }
 
@@ -179,8 +183,9 @@
     private fun onAttemptEnded(result: AttemptResult) {
         call = null
         val sentRequest = trafficRequest ?: return
-        context.log.attemptEnded(id, sentRequest.workers.last(), result, lastAnswer)
+        context.log.attemptEnded(id, sentRequest.workers.last(), result, lastAnswer, lastUse)
         lastAnswer = null
+        lastUse = null
         context.metrics.countAttempt(result)
         context.metrics.countStatedLimit(result.rateLimit)
         if (isCallerDisconnected) {
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/CallResult.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/CallResult.kt
@@ -4,12 +4,16 @@
 
 /** Outcome of an [HttpCall], as observed on its connection. */
 sealed interface CallResult {
+    /** Which connection carried the call, or null if none did, or one of another host. */
+    val use: ConnectionUse?
+
     /** The complete response was received; [isConnectionReused] states whether its connection had carried other responses before. */
     class Response(
         val status: Int,
         val headers: HeaderMap,
         val body: ByteArray,
         val isConnectionReused: Boolean = false,
+        override val use: ConnectionUse? = null,
     ) : CallResult {
         /** Returns the first value of header [name], or null if it is absent. */
         fun header(name: String): String? = headers.getFirst(name)
@@ -22,7 +26,9 @@
     class NotSent(
         val detail: String,
         val isRefused: Boolean = false,
-    ) : CallResult
+    ) : CallResult {
+        override val use = null
+    }
 
     /**
      * The request was sent, at least in part, and no complete response was received. The server may have executed it;
@@ -34,5 +40,6 @@
         val isConnectionLost: Boolean = false,
         val isTooLong: Boolean = false,
         val isMalformed: Boolean = false,
+        override val use: ConnectionUse? = null,
     ) : CallResult
 }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/CallTransfer.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/CallTransfer.kt
@@ -23,12 +23,13 @@
     private val call: HttpCall,
     persistentConnection: PersistentConnection,
     private val buffer: ResponseBuffers.ResponseBuffer,
-    private val isConnectionReused: Boolean,
+    private val use: ConnectionUse,
     private val onResponse: (response: CallResult.Response, idleTimeoutMs: Long) -> Unit,
     private val onIncomplete: (detail: String) -> Unit,
 ) {
     private val connection = persistentConnection.connection
     private val conduit = persistentConnection.conduit
+    private val isConnectionUsedUp = persistentConnection.isUsedUp
     private val unsentBody: ByteBuffer = ByteBuffer.wrap(call.body)
     private var isRequestSent = false
 
@@ -136,7 +137,7 @@
             return onIncomplete("the answer was cut: ${buffer.size} of $expectedBytes bytes")
         }
         onResponse(
-            CallResult.Response(response.responseCode, response.responseHeaders, buffer.toByteArray(), isConnectionReused),
+            CallResult.Response(response.responseCode, response.responseHeaders, buffer.toByteArray(), use.exchange > 1, use),
             idleTimeoutMs(exchange),
         )
     }
@@ -147,7 +148,7 @@
         val isClosing = headers.getFirst(Headers.CONNECTION)?.contains("close", ignoreCase = true) ?: false
         val hasDelimitedBody = headers.contains(Headers.CONTENT_LENGTH) || headers.contains(Headers.TRANSFER_ENCODING)
         val isReusable = hasDelimitedBody && isRequestSent && connection.isOpen && !conduit.hasExtraBytes
-        if (isClosing || !isReusable) return 0
+        if (isClosing || !isReusable || isConnectionUsedUp) return 0
         val keepAliveTimeoutS =
             headers
                 .getFirst(Headers.KEEP_ALIVE)
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/EventLoopHttpClient.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/EventLoopHttpClient.kt
@@ -33,6 +33,7 @@
 ) {
     private val idleConnections = IdleConnectionPool(clock)
     private val connectThread = LimitedConnectThread(loop)
+    private var connectionsOpened = 0L
 
     /** Starts [call] and calls [onResult] once, unless the call is cancelled. Must run on the event loop. */
     fun send(
@@ -93,6 +94,7 @@
         private var isFinished = false
         private var isConnected = false
         private var connection: PersistentConnection? = null
+        private var use: ConnectionUse? = null
         private var transfer: CallTransfer? = null
         private val buffer = responseBuffers.open { detail -> loop.execute { fail(detail, isConnectionLost = false) } }
         private val connectTimer = loop.executeAfter({ onConnectTimeout() }, call.connectTimeoutMs, TimeUnit.MILLISECONDS)
@@ -100,7 +102,7 @@
 
         fun start() {
             val reused = idleConnections.acquire(call.address, call.maxConnectionIdleMs)
-            if (reused != null) return startTransfer(reused, isReused = true)
+            if (reused != null) return startTransfer(reused)
             idleConnections.closeExcess(call.address, call.maxIdleConnections)
             connect()
         }
@@ -118,7 +120,7 @@
                         if (isFinished) return IoUtils.safeClose(result)
                         val conduit =
                             checkNotNull(connectThread.lastConduit) { "connection to ${call.address} was opened without its conduit" }
-                        startTransfer(PersistentConnection(loop, result, conduit), isReused = false)
+                        startTransfer(PersistentConnection(++connectionsOpened, loop, result, conduit))
                     }
 
                     override fun failed(e: IOException) = complete(CallResult.NotSent("no connection: ${e.message}", e.isRefused))
@@ -127,15 +129,13 @@
             UndertowClient.getInstance().connect(onConnected, uri, connectThread, bufferPool, connectOptions)
         }
 
-        private fun startTransfer(
-            connection: PersistentConnection,
-            isReused: Boolean,
-        ) {
+        private fun startTransfer(connection: PersistentConnection) {
             connectTimer.remove()
             this.connection = connection
             isConnected = true
-            connection.startCall { onTransferFailed("the connection was closed") }
-            transfer = CallTransfer(call, connection, buffer, isReused, ::onResponse, ::onTransferFailed).apply { start() }
+            val use = connection.startCall(call.requestId) { onTransferFailed("the connection was closed") }
+            this.use = use
+            transfer = CallTransfer(call, connection, buffer, use, ::onResponse, ::onTransferFailed).apply { start() }
         }
 
         private fun onResponse(
@@ -159,7 +159,7 @@
             markFinished()
             connection?.abort()
             idleConnections.closeAll(call.address)
-            onResult(CallResult.Incomplete(detail, isConnectionLost, buffer.isTooLong, connection?.conduit?.isMalformed == true))
+            onResult(CallResult.Incomplete(detail, isConnectionLost, buffer.isTooLong, connection?.conduit?.isMalformed == true, use))
         }
 
         private fun onConnectTimeout() {
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/HttpCall.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/HttpCall.kt
@@ -11,6 +11,7 @@
  * @property maxIdleConnections idle connections to [address] that may stay open when a new one is opened
  * @property connectTimeoutMs time in milliseconds within which the connection must be established
  * @property timeoutMs time in milliseconds within which the complete response must arrive, or null if the caller cancels the call itself
+ * @property requestId id by which a response names this request, or null if responses name none
  * @property isOwnResponse returns whether a response is the one to this request; the connection of any other is closed, as the right one
  * may still arrive there
  */
@@ -24,6 +25,7 @@
     val maxIdleConnections: Int = Int.MAX_VALUE,
     val connectTimeoutMs: Long,
     val timeoutMs: Long? = null,
+    val requestId: String? = null,
     val isOwnResponse: (CallResult.Response) -> Boolean = { true },
 ) {
     private companion object {
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/PersistentConnection.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/PersistentConnection.kt
@@ -8,14 +8,20 @@
 /**
  * A connection that carries calls one after the other. Must be used on the event loop [loop] only.
  *
- * A connection may carry any number of calls, so it refers to a call only while it carries that call.
+ * A connection may carry many calls, so it refers to a call only while it carries that call. Of earlier ones it knows the ids, a limited
+ * number of them.
+ *
+ * @param id number of the connection in this process
  */
 internal class PersistentConnection(
+    private val id: Long,
     private val loop: XnioIoThread,
     val connection: ClientConnection,
     val conduit: ResponseConduit,
 ) {
     private var onClosed: Runnable? = null
+    private val carriedRequests = CarriedRequests()
+    private var exchanges = 0
 
     init {
         // Undertow offers no way to remove a close listener, so there is one for all calls.
@@ -25,10 +31,23 @@
     val isOpen: Boolean
         get() = connection.isOpen
 
-    /** Starts a call. [onClosed] is run after the last bytes of a response have been read if the connection closes before [endCall]. */
-    fun startCall(onClosed: () -> Unit) {
+    /** Whether the connection can carry no more requests. */
+    val isUsedUp: Boolean
+        get() = carriedRequests.isFull
+
+    /**
+     * Starts the call of request [requestId], which is null if it has no id. [onClosed] is run after the last bytes of a response have been
+     * read if the connection closes before [endCall].
+     */
+    fun startCall(
+        requestId: String?,
+        onClosed: () -> Unit,
+    ): ConnectionUse {
         check(this.onClosed == null) { "the connection carries another call: end that one first" }
         this.onClosed = Runnable(onClosed)
+        val use = ConnectionUse(id, ++exchanges, isRepeat = requestId != null && requestId in carriedRequests)
+        if (requestId != null && !use.isRepeat) carriedRequests.add(requestId)
+        return use
     }
 
     /** Ends the call that the connection carries. */
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/AnswerSummary.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/AnswerSummary.kt
@@ -2,6 +2,7 @@
 
 import io.kumquatmill.gateway.caller.HttpHeaderNames
 import io.kumquatmill.gateway.http.CallResult
+import io.kumquatmill.gateway.http.ConnectionUse
 
 /**
  * What a worker's answer looked like when it was interpreted, for the logs.
@@ -10,6 +11,7 @@
  * @property saysNotRun whether it states that the request has not run
  * @property hasProof whether it bears the proof of a worker
  * @property isConnectionReused whether its connection had carried other answers before
+ * @property use which connection carried it, or null if another host received it
  */
 data class AnswerSummary(
     val status: Int,
@@ -17,6 +19,7 @@
     val saysNotRun: Boolean,
     val hasProof: Boolean,
     val isConnectionReused: Boolean,
+    val use: ConnectionUse?,
 ) {
     companion object {
         /** Summarizes [response], whose headers are called [names]. */
@@ -32,6 +35,7 @@
             saysNotRun = response.header(names.notExecuted) != null,
             hasProof = response.header(names.workerProof) != null,
             response.isConnectionReused,
+            response.use,
         )
     }
 }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/RequestLog.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/RequestLog.kt
@@ -3,6 +3,7 @@
 import io.kumquatmill.common.id.WorkerId
 import io.kumquatmill.common.id.WorkspaceId
 import io.kumquatmill.gateway.caller.LocalResponse
+import io.kumquatmill.gateway.http.ConnectionUse
 import io.kumquatmill.gateway.store.describeRevision
 import io.kumquatmill.traffic.control.AttemptResult
 import io.kumquatmill.traffic.control.RouteResolution
@@ -75,15 +76,20 @@
         .addKeyValue("result", result)
         .addKeyValue("detail", detail)
         .addAnswer(answer, isWhole = true)
+        .addUse(answer?.use)
         .addKeyValue("tookMs", durationMs)
         .log("passed on for a peer")
 
-    /** Logs that an attempt at [worker] ended with [result], and how the [answer] looked that it was read from. */
+    /**
+     * Logs that an attempt at [worker] ended with [result], how the [answer] looked that it was read from, and which connection was used,
+     * also if it brought no answer: [use] is null if nothing was sent, or if a peer sent it.
+     */
     fun attemptEnded(
         id: String,
         worker: WorkerId,
         result: AttemptResult,
         answer: AnswerSummary?,
+        use: ConnectionUse?,
     ) {
         val line =
             logger
@@ -92,6 +98,8 @@
                 .addKeyValue("worker", worker)
                 .addKeyValue("result", result.resultName)
                 .addAnswer(answer, isWhole = result !is AttemptResult.Answered)
+                .addUse(use)
+        result.notRunBecause?.let { line.addKeyValue("notRunBecause", it) }
         when (result) {
             is AttemptResult.Answered -> line.addLimit(result.rateLimit)
             is AttemptResult.Unreachable -> line.addKeyValue("detail", result.detail)
@@ -158,6 +166,15 @@
         .addKeyValue("proof", answer.hasProof)
 }
 
+private fun LoggingEventBuilder.addUse(use: ConnectionUse?): LoggingEventBuilder =
+    if (use == null) {
+        this
+    } else {
+        addKeyValue("connectionId", use.connectionId)
+            .addKeyValue("exchange", use.exchange)
+            .addKeyValue("isRepeat", use.isRepeat)
+    }
+
 private fun LoggingEventBuilder.addLimit(stated: StatedRateLimit): LoggingEventBuilder =
     when (stated) {
         is StatedRateLimit.None -> this
@@ -165,6 +182,16 @@
         is StatedRateLimit.Invalid -> addKeyValue("limitPerS", "invalid")
     }
 
+/** Why this result is taken for one of a request that has not run, or null if it is not. */
+private val AttemptResult.notRunBecause: String?
+    get() =
+        when (this) {
+            is AttemptResult.Unreachable -> "not-connected"
+            is AttemptResult.RelayFailed -> "not-passed-on"
+            is AttemptResult.Shed, is AttemptResult.Misdirected -> "refusal-names-request"
+            is AttemptResult.Answered, is AttemptResult.Unknown -> null
+        }
+
 /** Name of the result type in logs and metrics. */
 internal val AttemptResult.resultName: String
     get() =
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/relay/RelayHandler.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/relay/RelayHandler.kt
@@ -132,6 +132,7 @@
                     maxConnectionIdleMs = exchange.requestHeaders.getFirst(RelayHeaders.MAX_IDLE_MS)?.toLongOrNull() ?: 0,
                     connectTimeoutMs = minOf(CONNECT_TIMEOUT_MS, timeLimitMs),
                     timeoutMs = timeLimitMs,
+                    requestId = requestId,
                     isOwnResponse = { response -> requestId == null || identityFlaw(response, requestId, headerNames) == null },
                 )
             call = httpClient.send(httpCall) { onResult(it) }
