Never send a request twice over one connection, so that no refusal is the copy of an earlier one

Callers saw orders that ran twice, and orders that ran although they were answered with a promise that they had not. A worker may write the copy of a refusal where the next answer is due; it bears the id of the refused request. When the same request was under way again on the connection, that copy was believed: the host sent the order to another worker, or refused it, while the worker ran it. Connections are kept by address, and workers that were tried are known by id, so a request met its connection again after a 421 when two entries name one address, when its caller sent the id again after a promise, and when two hosts sent it through the connection of one peer.

Now a connection carries each request at most once, whoever sends it again and why; the pool takes another connection or opens one. A refusal counts only on a connection that had not carried its request, which a peer states with its answer; without that word, as from earlier builds, it counts only from a new connection of the peer. Considered: closing each connection that brought a refusal (a new connection a refusal, under overload), and new connections for repeats only (the host does not know of a caller's repeat after a restart of its own count).

RelayedCallTest: a refusal from a kept connection of a peer that checks the framing was believed; that expectation now needs the peer's word on the connection as well, and a test of its own requires that it says nothing without.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/ResponseClassification.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/ResponseClassification.kt
@@ -17,26 +17,20 @@
  * that cannot be trusted is [AttemptResult.Unknown].
  *
  * A statement that the request was not executed allows it to be sent again. It counts only in a response that names this request and no
- * other, has a status that goes with it, and bears no proof of a worker.
+ * other, has a status that goes with it, bears no proof of a worker, and came on a connection that had not carried the request before.
  */
 internal fun classifyResponse(
     response: CallResult.Response,
     id: String,
     headerNames: HttpHeaderNames,
 ): AttemptResult {
-    val saysNotExecuted = response.header(headerNames.notExecuted) != null
     val proofs = response.headers.count(headerNames.workerProof)
     val flaw = identityFlaw(response, id, headerNames)
+    val isRefusal = response.status == MISDIRECTED_REQUEST || response.header(headerNames.notExecuted) != null
     return when {
         flaw != null -> doubted(AnswerDoubt.IDENTITY, flaw)
         proofs > 1 -> doubted(AnswerDoubt.PROOF, "the answer bears the proof of several answers")
-        proofs > 0 && (saysNotExecuted || response.status == MISDIRECTED_REQUEST) ->
-            doubted(AnswerDoubt.PROMISE, "the answer says that the request has not run and bears the proof of a worker")
-        response.status == MISDIRECTED_REQUEST -> AttemptResult.Misdirected
-        saysNotExecuted && response.status !in notExecutedStatuses ->
-            doubted(AnswerDoubt.PROMISE, "the answer says that the request has not run with status ${response.status}")
-        saysNotExecuted ->
-            AttemptResult.Shed(parseWorkerLoad(response, headerNames), parseRateLimit(response, headerNames))
+        isRefusal -> classifyRefusal(response, hasProof = proofs > 0, headerNames)
         response.header("Content-Encoding") != null -> AttemptResult.Unknown("the answer is encoded, which nobody asked for")
         response.status in successStatuses && proofs == 0 ->
             doubted(AnswerDoubt.PROOF, "the answer bears no proof of a worker")
@@ -45,6 +39,21 @@
     }
 }
 
+private fun classifyRefusal(
+    response: CallResult.Response,
+    hasProof: Boolean,
+    headerNames: HttpHeaderNames,
+): AttemptResult =
+    when {
+        hasProof -> doubted(AnswerDoubt.PROMISE, "the answer says that the request has not run and bears the proof of a worker")
+        response.use?.isRepeat == true ->
+            doubted(AnswerDoubt.REPEAT, "the answer may be the copy of an earlier refusal on its connection")
+        response.status == MISDIRECTED_REQUEST -> AttemptResult.Misdirected
+        response.status !in notExecutedStatuses ->
+            doubted(AnswerDoubt.PROMISE, "the answer says that the request has not run with status ${response.status}")
+        else -> AttemptResult.Shed(parseWorkerLoad(response, headerNames), parseRateLimit(response, headerNames))
+    }
+
 private fun doubted(
     doubt: AnswerDoubt,
     detail: String,
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/EventLoopHttpClient.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/EventLoopHttpClient.kt
@@ -23,7 +23,8 @@
  * HTTP/1.1 client that runs on one event loop; no call blocks a thread.
  *
  * It uses Undertow's client, which sends request targets unchanged, reports when the first byte is sent, and closes an idle
- * connection on which any byte arrives. Calls are never retried here.
+ * connection on which any byte arrives. Calls are never retried here, and a connection never carries a request twice: a response that names
+ * a request is then no copy of an earlier response to it.
  */
 class EventLoopHttpClient(
     private val loop: XnioIoThread,
@@ -101,7 +102,7 @@
         private val timeoutTimer = call.timeoutMs?.let { loop.executeAfter({ onTimeout(it) }, it, TimeUnit.MILLISECONDS) }
 
         fun start() {
-            val reused = idleConnections.acquire(call.address, call.maxConnectionIdleMs)
+            val reused = idleConnections.acquire(call.address, call.maxConnectionIdleMs, call.requestId)
             if (reused != null) return startTransfer(reused)
             idleConnections.closeExcess(call.address, call.maxIdleConnections)
             connect()
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/IdleConnectionPool.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/IdleConnectionPool.kt
@@ -15,22 +15,29 @@
 
     private val connectionsByAddress = HashMap<HostAddress, ArrayDeque<IdleConnection>>()
 
-    /** Removes and returns an open connection to [address] that was idle for less than [maxConnectionIdleMs], or null. */
+    /**
+     * Removes and returns an open connection to [address] that was idle for less than [maxConnectionIdleMs] and has not carried request
+     * [requestId], or null.
+     */
     fun acquire(
         address: HostAddress,
         maxConnectionIdleMs: Long,
+        requestId: String?,
     ): PersistentConnection? {
         val idle = connectionsByAddress[address] ?: return null
         val nowMs = clock.nowMs()
-        while (true) {
-            val newest = idle.lastOrNull() ?: return null
-            if (nowMs - newest.idleSinceMs >= maxConnectionIdleMs) return null
-            idle.removeLast()
-            if (newest.connection.isOpen && nowMs < newest.expiresAtMs) return newest.connection
-            newest.connection.close()
+        idle.filterNot { it.isUsable(nowMs) }.forEach { unusable ->
+            idle.remove(unusable)
+            unusable.connection.close()
         }
+        val chosen = idle.lastOrNull { requestId == null || !it.connection.hasCarried(requestId) } ?: return null
+        if (nowMs - chosen.idleSinceMs >= maxConnectionIdleMs) return null
+        idle.remove(chosen)
+        return chosen.connection
     }
 
+    private fun IdleConnection.isUsable(nowMs: Long) = connection.isOpen && nowMs < expiresAtMs
+
     /** Returns whether there is an open connection to [address]. */
     fun hasOpen(address: HostAddress): Boolean =
         connectionsByAddress[address].orEmpty().any { it.connection.isOpen && clock.nowMs() < it.expiresAtMs }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/PersistentConnection.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/PersistentConnection.kt
@@ -35,6 +35,9 @@
     val isUsedUp: Boolean
         get() = carriedRequests.isFull
 
+    /** Returns whether the connection has carried request [requestId], so that a copy of its response may arrive. */
+    fun hasCarried(requestId: String): Boolean = requestId in carriedRequests
+
     /**
      * Starts the call of request [requestId], which is null if it has no id. [onClosed] is run after the last bytes of a response have been
      * read if the connection closes before [endCall].
@@ -45,7 +48,7 @@
     ): ConnectionUse {
         check(this.onClosed == null) { "the connection carries another call: end that one first" }
         this.onClosed = Runnable(onClosed)
-        val use = ConnectionUse(id, ++exchanges, isRepeat = requestId != null && requestId in carriedRequests)
+        val use = ConnectionUse(id, ++exchanges, isRepeat = requestId != null && hasCarried(requestId))
         if (requestId != null && !use.isRepeat) carriedRequests.add(requestId)
         return use
     }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/relay/RelayHandler.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/relay/RelayHandler.kt
@@ -157,6 +157,7 @@
         private fun respond(response: CallResult.Response) {
             controller.onResponse(clock.nowMs(), worker.id, response.isConnectionReused)
             val result = if (response.isConnectionReused) RelayResult.RESPONSE_REUSED else RelayResult.RESPONSE
+            if (response.use?.isRepeat == false) exchange.responseHeaders.put(HttpString(RelayHeaders.REPEAT), RelayHeaders.REPEAT_NO)
             finish(exchange, peerIp, worker.id.value, result, detail = null, tookMs(), AnswerSummary.of(response, headerNames))
             if (exchange.isComplete) return
             exchange.statusCode = response.status
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/relay/RelayHeaders.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/relay/RelayHeaders.kt
@@ -23,6 +23,15 @@
     /** Value of [FRAMING]. */
     const val FRAMING_CHECKED = "checked"
 
+    /**
+     * States whether the connection to the worker had carried the request before: [REPEAT_NO] if it had not. Hosts of builds that do not
+     * know it do not send this header, and a refusal that they pass on may be the copy of an earlier one unless its connection was new.
+     */
+    const val REPEAT = "Kumquatmill-Relay-Repeat"
+
+    /** Value of [REPEAT]. */
+    const val REPEAT_NO = "no"
+
     /** Names of all these headers, in lower case. */
-    val names: Set<String> = setOf(WORKER, MAX_IDLE_MS, RESULT, DETAIL, FRAMING).mapTo(HashSet()) { it.lowercase() }
+    val names: Set<String> = setOf(WORKER, MAX_IDLE_MS, RESULT, DETAIL, FRAMING, REPEAT).mapTo(HashSet()) { it.lowercase() }
 }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/relay/RelayResult.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/relay/RelayResult.kt
@@ -35,17 +35,23 @@
 
 /** What a call to a peer that was to pass a request on tells about the attempt. */
 internal sealed interface RelayedCall {
-    /** The worker's response, as if it had been received directly; [isFramingChecked] states whether the peer checks that it is one. */
+    /**
+     * The worker's response, as if it had been received directly; [isFramingChecked] states whether the peer checks that it is one, and
+     * [mayBeCopy] whether the peer's connection to the worker may have carried the request before.
+     */
     class Response(
         val response: CallResult.Response,
         private val isFramingChecked: Boolean,
+        private val mayBeCopy: Boolean,
     ) : RelayedCall {
         /** Returns [classified], what the response says about the request, unless its refusal may be that of another answer. */
         fun believed(classified: AttemptResult): AttemptResult =
-            if (isFramingChecked || !classified.isNotRun) {
-                classified
-            } else {
-                AttemptResult.Unknown("the peer does not check that the refusal is one answer", doubt = AnswerDoubt.FRAMING)
+            when {
+                !classified.isNotRun -> classified
+                !isFramingChecked ->
+                    AttemptResult.Unknown("the peer does not check that the refusal is one answer", doubt = AnswerDoubt.FRAMING)
+                mayBeCopy -> AttemptResult.Unknown("the refusal may be the copy of an earlier one at the peer", doubt = AnswerDoubt.REPEAT)
+                else -> classified
             }
     }
 
@@ -89,8 +95,9 @@
 
         private fun CallResult.Response.fromWorker(isReused: Boolean): Response {
             val isFramingChecked = header(RelayHeaders.FRAMING) == RelayHeaders.FRAMING_CHECKED
+            val mayBeCopy = isReused && header(RelayHeaders.REPEAT) != RelayHeaders.REPEAT_NO
             RelayHeaders.names.forEach { headers.remove(it) }
-            return Response(CallResult.Response(status, headers, body, isReused), isFramingChecked)
+            return Response(CallResult.Response(status, headers, body, isReused), isFramingChecked, mayBeCopy)
         }
     }
 }
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/caller/ResponseClassificationTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/caller/ResponseClassificationTest.kt
@@ -1,6 +1,8 @@
 package io.kumquatmill.gateway.caller
 
 import io.kumquatmill.gateway.http.CallResult
+import io.kumquatmill.gateway.http.ConnectionUse
+import io.kumquatmill.traffic.control.AnswerDoubt
 import io.kumquatmill.traffic.control.AttemptResult
 import io.kumquatmill.traffic.control.StatedRateLimit
 import io.undertow.util.HeaderMap
@@ -8,6 +10,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
+import kotlin.test.assertTrue
 
 /** Responses of workers that may belong to another request, such as late copies of earlier responses on a connection in use again. */
 class ResponseClassificationTest {
@@ -23,6 +26,22 @@
         return classifyResponse(CallResult.Response(status, headerMap, ByteArray(0), isConnectionReused), "r-1", names)
     }
 
+    /** Guards against the copy of an earlier refusal that is taken for the answer to the same request. */
+    @Test
+    fun `a refusal says nothing on a connection that had carried the request before`() {
+        val headers = HeaderMap()
+        mapOf("id" to "r-1", "not-run" to "full").forEach { (name, value) -> headers.add(HttpString(name), value) }
+
+        fun classify(
+            status: Int,
+            isRepeat: Boolean,
+        ) = classifyResponse(CallResult.Response(status, headers, ByteArray(0), true, ConnectionUse(1, 2, isRepeat)), "r-1", names)
+        listOf(400, 421, 429, 503).forEach { status ->
+            assertEquals(AnswerDoubt.REPEAT, assertIs<AttemptResult.Unknown>(classify(status, isRepeat = true)).doubt, "status $status")
+            assertTrue(classify(status, isRepeat = false).isNotRun, "status $status")
+        }
+    }
+
     @Test
     fun `a response with the id of another request says nothing about this one`() {
         val headers = mapOf("id" to "r-0", "proof" to "p", "not-run" to "full")
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/http/EventLoopHttpClientTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/http/EventLoopHttpClientTest.kt
@@ -21,6 +21,7 @@
 import kotlin.test.assertFailsWith
 import kotlin.test.assertIs
 import kotlin.test.assertNotEquals
+import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
 
 class EventLoopHttpClientTest {
@@ -45,6 +46,7 @@
         body: String = "",
         maxConnectionIdleMs: Long = Long.MAX_VALUE,
         timeoutMs: Long = 3_000,
+        requestId: String? = null,
         isOwnResponse: (CallResult.Response) -> Boolean = { true },
     ): CallResult {
         val result = CompletableFuture<CallResult>()
@@ -58,6 +60,7 @@
                 maxConnectionIdleMs = maxConnectionIdleMs,
                 connectTimeoutMs = 500,
                 timeoutMs = timeoutMs,
+                requestId = requestId,
                 isOwnResponse = isOwnResponse,
             )
         loop.execute { client.send(call) { result.complete(it) } }
@@ -92,6 +95,26 @@
             assertNotEquals(sockets[1], sockets[2])
         }
 
+    /** Guards against the copy of an earlier answer that is taken for the answer to the same request. */
+    @Test
+    fun `a connection never carries a request twice`() =
+        withServer({ write(okResponse) }) { server ->
+            val ids = listOf("a", "b", "a", "b", "c", "a", "c")
+            val uses = ids.map { assertNotNull(assertResponse(send(server.address, requestId = it)).use) }
+            assertTrue(uses.none { it.isRepeat }, "found $uses")
+            val carried = ids.zip(server.requests) { id, request -> id to request.socket.port }
+            assertEquals(carried.distinct(), carried)
+            assertEquals(3, carried.distinctBy { (_, port) -> port }.size, "new connections only where an id comes again")
+        }
+
+    @Test
+    fun `a connection is closed after as many requests as it can remember`() =
+        withServer({ write(okResponse) }) { server ->
+            repeat(2 * MAX_CARRIED + 1) { assertResponse(send(server.address, requestId = "r$it")) }
+            val requestsByPort = server.requests.groupingBy { it.socket.port }.eachCount()
+            assertEquals(listOf(MAX_CARRIED, MAX_CARRIED, 1), requestsByPort.values.sortedDescending())
+        }
+
     @Test
     fun `a connection that the server announces to close is not reused`() =
         withServer({ write("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok") }) { server ->
@@ -339,6 +362,7 @@
         }
 
     private companion object {
+        const val MAX_CARRIED = 512
         const val BUFFER_BYTES = 8 * 1024
         const val EXTRA_DELAY_MS = 60L
     }
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/relay/RelayedCallTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/relay/RelayedCallTest.kt
@@ -30,11 +30,23 @@
         assertIs<AttemptResult.Unknown>(earlier.believed(AttemptResult.Misdirected))
         assertEquals(answered, earlier.believed(answered))
         val checked = RelayHeaders.FRAMING to RelayHeaders.FRAMING_CHECKED
-        val current = assertIs<RelayedCall.Response>(call(RelayHeaders.RESULT to "response-reused", checked, "Id" to "r-1"))
+        val first = RelayHeaders.REPEAT to RelayHeaders.REPEAT_NO
+        val current = assertIs<RelayedCall.Response>(call(RelayHeaders.RESULT to "response-reused", checked, first, "Id" to "r-1"))
         assertEquals(shed, current.believed(shed))
         assertTrue(current.response.headers.none { it.headerName.toString().startsWith("Kumquatmill") })
     }
 
+    /** Guards against the copy of an earlier refusal on the connection of a peer that may carry a request twice. */
+    @Test
+    fun `a refusal that a peer got on a kept connection counts only if the connection had not carried the request`() {
+        val checked = RelayHeaders.FRAMING to RelayHeaders.FRAMING_CHECKED
+        val kept = assertIs<RelayedCall.Response>(call(RelayHeaders.RESULT to "response-reused", checked, "Id" to "r-1"))
+        listOf(shed, AttemptResult.Misdirected).forEach { assertIs<AttemptResult.Unknown>(kept.believed(it)) }
+        assertEquals(answered, kept.believed(answered))
+        val new = assertIs<RelayedCall.Response>(call(RelayHeaders.RESULT to "response", checked, "Id" to "r-1"))
+        assertEquals(shed, new.believed(shed))
+    }
+
     @Test
     fun `a peer's word that it has not sent a request counts only for the request that it names`() {
         listOf("refused", "unreachable").forEach { result ->
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/AnswerDoubt.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/AnswerDoubt.kt
@@ -10,6 +10,9 @@
     /** It names no request, or another one. */
     IDENTITY("identity"),
 
+    /** It states that the request has not run, on a connection that may have carried the same request before. */
+    REPEAT("repeat"),
+
     /** It states that the request has not run, with a status or a proof that says otherwise. */
     PROMISE("promise"),
 
