Leave a worker whose address answers 421 out for a limited time, not until its entry changes

A 421 now leaves the worker out for a second, twice as long after each further one up to eight, then one request at a time tries it; its own answer takes it back, and so does a try after its entry has changed. Where the entry of an ended worker stays, 2 to 5 of the requests of ten seconds meet the 421. The test for taking workers back fails with the old mark: no request is sent again at all.

--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
@@ -357,6 +357,7 @@
         val mayLift = result is AttemptResult.Answered && result.status < SERVER_ERROR
         workerLimits.onResponse(nowMs, attempt.sentAtMs, worker.entry, result.rateLimit, mayLift)
         recordCrashSigns(nowMs, request, attempt, result)
+        if (result is AttemptResult.Answered || result is AttemptResult.Shed) worker.onOwnAnswer()
         return when (result) {
             is AttemptResult.Answered -> {
                 result.load?.let { worker.onLoadReport(nowMs, it.running, it.waiting) }
@@ -378,7 +379,7 @@
                 retryUnexecuted(nowMs, request, isBudgetExempt = true)
             }
             is AttemptResult.Misdirected -> {
-                worker.onMisdirected()
+                worker.onMisdirected(nowMs)
                 retryUnexecuted(nowMs, request, isBudgetExempt = false)
             }
             is AttemptResult.Unknown -> {
@@ -449,7 +450,7 @@
     /** Returns whether the process of [worker] has not been announced to end: its entry is there and not draining. */
     private fun isExpectedToRun(worker: TrackedWorker): Boolean {
         val entry = state.workers[worker.entry.id] ?: return false
-        return !worker.isLeaving && entry.startedAtMs == worker.entry.startedAtMs
+        return !worker.isLeaving && !worker.isMisdirected && entry.startedAtMs == worker.entry.startedAtMs
     }
 
     /** Returns whether [request] should not be sent to another worker, because it may have ended those to which it was sent. */
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/PlacementSettings.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/PlacementSettings.kt
@@ -22,6 +22,9 @@
     /** Duration of the first ejection of an unreachable worker. It doubles with each further failure, up to [maxEjectionMs]. */
     val baseEjectionMs: Long = 500,
     val maxEjectionMs: Long = 4_000,
+    /** How long a worker is left out after a 421, the first time. It doubles with each further one, up to [maxMisdirectedMs]. */
+    val baseMisdirectedMs: Long = 1_000,
+    val maxMisdirectedMs: Long = 8_000,
     /** Consecutive failures after which a worker is ejected even if its connections can be opened. */
     val failuresToEject: Int = 3,
     /** How long a worker's load report is used to estimate the load from other hosts. */
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/TrackedWorker.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/TrackedWorker.kt
@@ -39,10 +39,16 @@
     var connectionLimit: Int = Int.MAX_VALUE
         internal set
 
-    /** Whether the worker must not receive new requests, because it is draining or its address belongs to another worker. */
+    /** Whether the worker must not receive new requests, because it is draining. */
     var isLeaving: Boolean = entry.isDraining
         internal set
 
+    /** Whether the last answer from the worker's address said that it belongs to another worker. */
+    val isMisdirected: Boolean
+        get() = misdirections > 0
+
+    private var misdirections = 0
+    private var misdirectedUntilMs = Long.MIN_VALUE
     private val inFlightSentAtMs = ArrayDeque<Long>()
     private val cachedKeys =
         object : LinkedHashMap<Long, Unit>(settings.cachedKeysPerWorker, LOAD_FACTOR, true) {
@@ -64,9 +70,10 @@
     /** Returns whether the worker is still cold: it started recently, or the evacuation of its zone ended recently. */
     fun isCold(nowMs: Long): Boolean = nowMs < coldUntilMs
 
-    /** Returns whether the worker can receive a request now; after repeated failures it receives only one request at a time. */
+    /** Returns whether the worker can receive a request now; after repeated failures or a 421 it receives only one request at a time. */
     fun isAvailable(nowMs: Long): Boolean {
-        val isEjected = nowMs < ejectedUntilMs || (consecutiveFailures >= settings.failuresToEject && inFlight > 0)
+        val isOnTrial = isMisdirected || consecutiveFailures >= settings.failuresToEject
+        val isEjected = nowMs < ejectedUntilMs || nowMs < misdirectedUntilMs || (isOnTrial && inFlight > 0)
         return !isLeaving && !isEjected && inFlight < connectionLimit && hasColdCapacity(nowMs) && rateLimit.allows(nowMs)
     }
 
@@ -167,9 +174,25 @@
         smoothedSlowdown = 1.0
     }
 
-    /** Records that the address belongs to another worker; no requests are sent there until the entry changes. */
-    internal fun onMisdirected() {
-        isLeaving = true
+    /**
+     * Records that the address belongs to another worker, as one answer said. It may be wrong, and the entry of a worker that has ended
+     * lapses: so the worker is left out for a time that doubles with each further such answer, until it answers itself.
+     */
+    internal fun onMisdirected(nowMs: Long) {
+        if (nowMs < misdirectedUntilMs) return
+        misdirectedUntilMs = nowMs + min(settings.maxMisdirectedMs, settings.baseMisdirectedMs shl min(misdirections, MAX_DOUBLINGS))
+        misdirections++
+    }
+
+    /** Records an answer of the worker itself. */
+    internal fun onOwnAnswer() {
+        misdirections = 0
+        misdirectedUntilMs = Long.MIN_VALUE
+    }
+
+    /** Records that the worker has written its entry again: its address is worth a request. */
+    internal fun onEntryChanged() {
+        misdirectedUntilMs = Long.MIN_VALUE
     }
 
     private fun recordSlowdown(
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/WorkerRegistry.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/WorkerRegistry.kt
@@ -83,6 +83,7 @@
         val worker = if (isSameProcess) known else TrackedWorker(entry, settings, rateLimits.of(entry)).also { workers[entry.id] = it }
         worker.entry = entry
         worker.isLeaving = entry.isDraining
+        worker.onEntryChanged()
         worker.coldUntilMs = nowMs + entry.warmUpRemainingMs
     }
 
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/control/TrafficControllerTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/control/TrafficControllerTest.kt
@@ -3,6 +3,7 @@
 import io.kumquatmill.traffic.anyFingerprint
 import io.kumquatmill.traffic.desiredState
 import io.kumquatmill.traffic.host
+import io.kumquatmill.traffic.model.WorkerEntry
 import io.kumquatmill.traffic.route
 import io.kumquatmill.traffic.settings
 import io.kumquatmill.traffic.steeringState
@@ -27,7 +28,8 @@
         return assertNotNull(request) to assertIs<RequestAction.Send>(action)
     }
 
-    private fun nonIdempotentController() = trafficController(workers, desiredState(routes = listOf(route(isIdempotent = false))))
+    private fun nonIdempotentController(workers: List<WorkerEntry> = this.workers) =
+        trafficController(workers, desiredState(routes = listOf(route(isIdempotent = false))))
 
     @Test
     fun `a request is not resolved before the first desired state`() {
@@ -118,6 +120,36 @@
         }
     }
 
+    /** Guards against hosts that are ready and refuse everything, because single answers have named all their workers as gone. */
+    @Test
+    fun `a worker whose address answers 421 is left out for a limited time, and taken back when it answers itself`() {
+        val controller = nonIdempotentController(listOf(worker("e1"), worker("e2")))
+        val (request, _) = controller.beginSent()
+        assertIs<RequestAction.Send>(controller.onResult(10, request, AttemptResult.Misdirected))
+        val refused = assertIs<RequestAction.Refuse>(controller.onResult(20, request, AttemptResult.Misdirected))
+        assertEquals(RefusalCause.NO_CAPACITY, refused.cause)
+        assertIs<RequestAction.Refuse>(controller.begin(900, controller.resolved(), "k1", "r2", 2_000, anyFingerprint).second)
+        val trials = (1..4).map { controller.begin(1_100, controller.resolved(), "k1", "t$it", 2_000, anyFingerprint) }
+        assertEquals(2, trials.count { (_, action) -> action is RequestAction.Send }, "one request at a time for each of two workers")
+        trials.mapNotNull { it.first }.filter { it.attempts > 0 }.forEach {
+            assertEquals(RequestAction.Deliver, controller.onResult(1_150, it, AttemptResult.Answered(200, null)))
+        }
+        val later = (1..4).map { controller.begin(1_200, controller.resolved(), "k1", "l$it", 2_000, anyFingerprint).second }
+        assertTrue(later.all { it is RequestAction.Send }, "found $later")
+    }
+
+    @Test
+    fun `an address that belongs to another worker gets few requests while the entry of the ended one stays`() {
+        val controller = nonIdempotentController(listOf(worker("e1")))
+        val sentAtMs =
+            (0L..10_000L step 10).filter { nowMs ->
+                val (request, action) = controller.begin(nowMs, controller.resolved(), "k1", "r$nowMs", 2_000, anyFingerprint)
+                if (action is RequestAction.Send) controller.onResult(nowMs + 1, assertNotNull(request), AttemptResult.Misdirected)
+                action is RequestAction.Send
+            }
+        assertTrue(sentAtMs.size in 2..5, "sent at $sentAtMs")
+    }
+
     @Test
     fun `a request that no worker executed is refused and its token is refunded`() {
         val limited =
