--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/LogSetup.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/LogSetup.kt
@@ -15,7 +15,8 @@
 /**
  * Writes log events of [level] (debug, info, warn or error) and above as JSON to standard output, on a separate thread.
  *
- * The queue is bounded. When it is full, events are dropped, so that logging never blocks a request.
+ * The queue is bounded. When it is full, events are dropped, so that logging never blocks a request. Must be called once; [setLogLevel]
+ * changes the level later.
  */
 fun configureLogging(level: String) {
     val context = LoggerFactory.getILoggerFactory() as LoggerContext
@@ -48,8 +49,13 @@
             addAppender(console)
             start()
         }
-    val root = context.getLogger(Logger.ROOT_LOGGER_NAME)
-    root.level = Level.toLevel(level, Level.INFO)
-    root.addAppender(async)
+    setLogLevel(level)
+    context.getLogger(Logger.ROOT_LOGGER_NAME).addAppender(async)
     listOf("org.xnio", "io.undertow", "org.jboss").forEach { context.getLogger(it).level = Level.WARN }
 }
+
+/** Writes log events of [level] and above from now on. */
+fun setLogLevel(level: String) {
+    val context = LoggerFactory.getILoggerFactory() as LoggerContext
+    context.getLogger(Logger.ROOT_LOGGER_NAME).level = Level.toLevel(level, Level.INFO)
+}
