--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
@@ -73,7 +73,7 @@
             ::onCrashEvent,
             ::onReachChange,
         )
-    private val httpClient = EventLoopHttpClient(loop, bufferPool, clock)
+    private val httpClient = EventLoopHttpClient(loop, bufferPool, clock, onConnectionNeeded = metrics::countConnection)
     private val loanWaiters = LoanWaiters()
     private val callerHandler =
         CallerHandler(
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/EventLoopHttpClient.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/EventLoopHttpClient.kt
@@ -25,12 +25,15 @@
  * It uses Undertow's client, which sends request targets unchanged, reports when the first byte is sent, and closes an idle
  * connection on which any byte arrives. Calls are never retried here, and a connection never carries a request twice: a response that names
  * a request is then no copy of an earlier response to it.
+ *
+ * @param onConnectionNeeded called when a call needs a new connection, with the reason
  */
 class EventLoopHttpClient(
     private val loop: XnioIoThread,
     private val bufferPool: ByteBufferPool,
     private val clock: MonotonicClock,
     private val responseBuffers: ResponseBuffers = ResponseBuffers(),
+    private val onConnectionNeeded: (ConnectionNeed) -> Unit = { },
 ) {
     private val idleConnections = IdleConnectionPool(clock)
     private val connectThread = LimitedConnectThread(loop)
@@ -83,7 +86,7 @@
     }
 
     /** Returns whether an idle connection to [address] is open. Must run on the event loop. */
-    fun hasIdleConnection(address: HostAddress): Boolean = idleConnections.hasOpen(address)
+    fun hasIdleConnection(address: HostAddress): Boolean = idleConnections.hasOpen(address, Long.MAX_VALUE)
 
     /** Closes the connections whose idle timeout has passed. Must run on the event loop. */
     fun closeExpiredConnections() = idleConnections.closeExpired()
@@ -104,6 +107,8 @@
         fun start() {
             val reused = idleConnections.acquire(call.address, call.maxConnectionIdleMs, call.requestId)
             if (reused != null) return startTransfer(reused)
+            val isRepeat = idleConnections.hasOpen(call.address, call.maxConnectionIdleMs)
+            onConnectionNeeded(if (isRepeat) ConnectionNeed.REPEAT else ConnectionNeed.NONE_IDLE)
             idleConnections.closeExcess(call.address, call.maxIdleConnections)
             connect()
         }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/IdleConnectionPool.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/IdleConnectionPool.kt
@@ -36,11 +36,16 @@
         return chosen.connection
     }
 
-    private fun IdleConnection.isUsable(nowMs: Long) = connection.isOpen && nowMs < expiresAtMs
+    /** Returns whether a connection to [address] that was idle for less than [maxConnectionIdleMs] is open, whatever it has carried. */
+    fun hasOpen(
+        address: HostAddress,
+        maxConnectionIdleMs: Long,
+    ): Boolean {
+        val nowMs = clock.nowMs()
+        return connectionsByAddress[address].orEmpty().any { it.isUsable(nowMs) && nowMs - it.idleSinceMs < maxConnectionIdleMs }
+    }
 
-    /** Returns whether there is an open connection to [address]. */
-    fun hasOpen(address: HostAddress): Boolean =
-        connectionsByAddress[address].orEmpty().any { it.connection.isOpen && clock.nowMs() < it.expiresAtMs }
+    private fun IdleConnection.isUsable(nowMs: Long) = connection.isOpen && nowMs < expiresAtMs
 
     /** Keeps [connection] for reuse for at most [idleTimeoutMs]; closes it if that is not positive or the pool of [address] is full. */
     fun release(
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
@@ -1,5 +1,6 @@
 package io.kumquatmill.gateway.metrics
 
+import io.kumquatmill.gateway.http.ConnectionNeed
 import io.kumquatmill.gateway.log.resultName
 import io.kumquatmill.traffic.control.AttemptResult
 import io.kumquatmill.traffic.control.StatedRateLimit
@@ -19,6 +20,8 @@
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val requests = HashMap<Pair<String, String>, Counter>()
     private val attempts = HashMap<String, Counter>()
+    private val connectionCounters =
+        ConnectionNeed.entries.associateWith { registry.counter("kumquatmill.connections.opened", "reason", it.wireName) }
     private val limitedWorkers = AtomicInteger().also { registry.gauge("kumquatmill.worker.limits", it) }
     private val quarantinedRequests = AtomicInteger().also { registry.gauge("kumquatmill.requests.quarantined", it) }
     private val cutOff = AtomicInteger().also { registry.gauge("kumquatmill.cut.off", it) }
@@ -48,6 +51,9 @@
         registry.counter("kumquatmill.answers.doubted", "reason", doubt.wireName).increment()
     }
 
+    /** Counts a call to a worker, peer or the store that needs a new connection, by the reason. */
+    fun countConnection(need: ConnectionNeed) = connectionCounters.getValue(need).increment()
+
     /** Counts a response that names the rate that its worker takes, or a limit that cannot be read. */
     fun countStatedLimit(stated: StatedRateLimit) {
         val kind =
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/http/EventLoopHttpClientTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/http/EventLoopHttpClientTest.kt
@@ -13,6 +13,7 @@
 import java.io.IOException
 import java.net.ServerSocket
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 import kotlin.test.AfterTest
@@ -27,12 +28,14 @@
 class EventLoopHttpClientTest {
     private val xnioWorker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1))
     private val loop = xnioWorker.ioThread
+    private val connectionNeeds = CopyOnWriteArrayList<ConnectionNeed>()
     private val client =
         EventLoopHttpClient(
             loop,
             DefaultByteBufferPool(false, BUFFER_BYTES),
             MonotonicClock.system,
             ResponseBuffers(maxResponseBytes = 100_000),
+            onConnectionNeeded = { connectionNeeds += it },
         )
     private val okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -104,7 +107,8 @@
             assertTrue(uses.none { it.isRepeat }, "found $uses")
             val carried = ids.zip(server.requests) { id, request -> id to request.socket.port }
             assertEquals(carried.distinct(), carried)
-            assertEquals(3, carried.distinctBy { (_, port) -> port }.size, "new connections only where an id comes again")
+            val needs = listOf(ConnectionNeed.NONE_IDLE, ConnectionNeed.REPEAT, ConnectionNeed.REPEAT)
+            assertEquals<List<ConnectionNeed>>(needs, connectionNeeds, "new connections only where an id comes again")
         }
 
     @Test
