Part the traffic controller by the question that each file answers

TrafficController had 634 lines and grew with each rule. Code was moved, none was changed: calls go to the same objects in the same order, and the public functions are the same.

--- /dev/null
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/FleetExchange.kt
@@ -0,0 +1,90 @@
+package io.kumquatmill.traffic.control
+
+import io.kumquatmill.traffic.crash.CrashReport
+import io.kumquatmill.traffic.crash.CrashingRequests
+import io.kumquatmill.traffic.fleet.EntryHostInfo
+import io.kumquatmill.traffic.fleet.FleetView
+import io.kumquatmill.traffic.fleet.PeerReport
+import io.kumquatmill.traffic.fleet.WorkerLimitObservation
+import io.kumquatmill.traffic.fleet.WorkerTag
+import io.kumquatmill.traffic.fleet.WorkspaceTag
+import io.kumquatmill.traffic.ratelimit.LoanGrant
+import io.kumquatmill.traffic.ratelimit.LoanRequest
+import io.kumquatmill.traffic.ratelimit.WorkspaceRateLimiter
+import io.kumquatmill.traffic.reach.WorkerReach
+import io.kumquatmill.traffic.workerlimit.WorkerLimits
+
+/** The [PeerExchange] of a [TrafficController]: each part keeps what it learns from reports and says what is reported of it. */
+internal class FleetExchange(
+    private val fleet: FleetView,
+    private val rateLimiter: WorkspaceRateLimiter,
+    private val workerLimits: WorkerLimits,
+    private val crashingRequests: CrashingRequests,
+    private val reach: WorkerReach,
+) : PeerExchange {
+    override fun updateHosts(
+        nowMs: Long,
+        hosts: Collection<EntryHostInfo>,
+    ) = fleet.updateHosts(nowMs, hosts)
+
+    override fun onReport(
+        nowMs: Long,
+        report: PeerReport,
+    ): Boolean {
+        val isApplied = fleet.onReport(nowMs, report)
+        if (isApplied) {
+            workerLimits.onReport(nowMs, report)
+            crashingRequests.onReport(nowMs, report)
+        }
+        return isApplied
+    }
+
+    override fun workerReachAgeMs(nowMs: Long): Long? = reach.reachAgeMs(nowMs)
+
+    override fun reachingPeerCount(nowMs: Long): Int = fleet.reachingPeers(nowMs).size
+
+    override fun isHost(ip: String): Boolean = fleet.hosts().any { it.ip == ip }
+
+    override fun changeBatchMs(): Long = fleet.changeBatchMs()
+
+    override fun peers(): List<EntryHostInfo> = fleet.peers()
+
+    override fun livePeers(nowMs: Long): List<PeerReport> = fleet.livePeers(nowMs)
+
+    override fun servingHosts(
+        nowMs: Long,
+        region: String,
+        isServing: Boolean,
+    ): List<EntryHostInfo> = fleet.servingHosts(nowMs, region, isServing, reach.isCutOff)
+
+    override fun demandPerS(nowMs: Long): Map<WorkspaceTag, Double> = rateLimiter.demandPerS(nowMs)
+
+    override fun demandFor(
+        peer: EntryHostInfo,
+        demandPerS: Map<WorkspaceTag, Double>,
+    ): Map<WorkspaceTag, Double> = rateLimiter.demandFor(peer, demandPerS)
+
+    override fun sharesPerMille(): Map<WorkspaceTag, Int> = rateLimiter.sharesPerMille()
+
+    override fun workerLimits(nowMs: Long): Map<WorkerTag, WorkerLimitObservation> = workerLimits.ownObservations(nowMs)
+
+    override fun crashReport(nowMs: Long): CrashReport = crashingRequests.report(nowMs)
+
+    override fun stalePeers(nowMs: Long): List<String> = fleet.stalePeers(nowMs)
+
+    override fun isIsolated(nowMs: Long): Boolean = fleet.isIsolated(nowMs)
+
+    override fun reportIntervalMs(): Long = fleet.reportIntervalMs()
+
+    override fun lend(
+        nowMs: Long,
+        request: LoanRequest,
+    ): LoanGrant? = rateLimiter.lend(nowMs, request)
+
+    override fun onLoan(
+        nowMs: Long,
+        grant: LoanGrant,
+    ) = rateLimiter.onLoan(nowMs, grant)
+
+    override fun leave(nowMs: Long) = rateLimiter.leave(nowMs)
+}
--- /dev/null
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/NextAttempt.kt
@@ -0,0 +1,161 @@
+package io.kumquatmill.traffic.control
+
+import io.kumquatmill.common.id.RegionId
+import io.kumquatmill.traffic.crash.CrashingRequests
+import io.kumquatmill.traffic.fleet.FleetView
+import io.kumquatmill.traffic.fleet.PeerReport
+import io.kumquatmill.traffic.model.TrafficRoute
+import io.kumquatmill.traffic.model.Workspace
+import io.kumquatmill.traffic.placement.Placement
+import io.kumquatmill.traffic.placement.PlacementChoice
+import io.kumquatmill.traffic.placement.PlacementQuery
+import io.kumquatmill.traffic.placement.TrackedWorker
+import io.kumquatmill.traffic.ratelimit.WorkspaceRateLimiter
+import io.kumquatmill.traffic.reach.RelayPeers
+import io.kumquatmill.traffic.reach.WorkerReach
+import io.kumquatmill.traffic.retry.RetryBudget
+
+/** The next attempt: decides to which worker an admitted request is sent, through which peer, or how the request ends. */
+internal class NextAttempt(
+    private val settings: TrafficSettings,
+    private val fleet: FleetView,
+    private val rateLimiter: WorkspaceRateLimiter,
+    private val placement: Placement,
+    private val crashingRequests: CrashingRequests,
+    private val reach: WorkerReach,
+    private val relays: RelayPeers,
+) {
+    private val retryBudget = RetryBudget(settings.retryRatio, settings.retryReserve, settings.retryWindowMs)
+
+    /**
+     * Chooses a worker for the next attempt of [request].
+     *
+     * A request that cannot be sent ends with [lastFailure], or is refused if that is null. An attempt with [isBudgetExempt] takes no retry
+     * from the budget.
+     */
+    fun next(
+        nowMs: Long,
+        request: TrafficRequest,
+        lastFailure: RequestAction?,
+        isBudgetExempt: Boolean = false,
+    ): RequestAction {
+        val isExhausted =
+            request.possibleExecutions >= request.route.maxAttempts || request.attempts >= request.route.maxAttempts + EXTRA_ATTEMPTS
+        crashingRequests.quarantinedForMs(nowMs, request.fingerprint)?.let {
+            return lastFailure ?: refuse(nowMs, request, RefusalCause.QUARANTINED, it)
+        }
+        if (isExhausted) return lastFailure ?: refuse(nowMs, request, RefusalCause.RETRIES_EXHAUSTED, DEFAULT_RETRY_AFTER_MS)
+        val query = queryOf(nowMs, request)
+        if (query.timeLeftMs < MIN_TIME_LEFT_MS) return lastFailure ?: refuse(nowMs, request, RefusalCause.TOO_LATE, DEFAULT_RETRY_AFTER_MS)
+        return when (val choice = placement.choose(nowMs, query)) {
+            is PlacementChoice.NoWorker -> lastFailure ?: refuse(nowMs, request, RefusalCause.NO_WORKER, NO_WORKER_RETRY_AFTER_MS)
+            is PlacementChoice.NoCapacity -> lastFailure ?: refuse(nowMs, request, RefusalCause.NO_CAPACITY, choice.retryAfterMs)
+            is PlacementChoice.Chosen ->
+                if (maySend(nowMs, request, isBudgetExempt)) {
+                    send(nowMs, request, query, choice)
+                } else {
+                    lastFailure ?: refuse(nowMs, request, RefusalCause.RETRIES_EXHAUSTED, DEFAULT_RETRY_AFTER_MS)
+                }
+        }
+    }
+
+    private fun maySend(
+        nowMs: Long,
+        request: TrafficRequest,
+        isBudgetExempt: Boolean,
+    ): Boolean = request.attempts == 0 || isBudgetExempt || retryBudget.tryTake(nowMs, request.upstream, fleet.size())
+
+    private fun send(
+        nowMs: Long,
+        request: TrafficRequest,
+        query: PlacementQuery,
+        choice: PlacementChoice.Chosen,
+    ): RequestAction.Send {
+        check(request.currentAttempt == null) { "request of route ${request.route.id} is being sent: wait for the result of its attempt" }
+        val worker = choice.worker
+        val relay = if (reach.isCutOff) chooseRelay(nowMs, query, worker) else null
+        relay?.let { relays.onSent(it.host) }
+        if (request.attempts == 0) retryBudget.onFirstAttempt(nowMs, request.upstream, fleet.size())
+        request.currentAttempt =
+            TrafficRequest.Attempt(
+                worker,
+                query,
+                nowMs,
+                wasCached = query.hasAffinityKey && worker.hasCached(query.affinityHash),
+                hadFreeSlot = choice.waitMs == 0.0,
+                relay = relay?.host,
+            )
+        request.attempts++
+        request.possibleExecutions++
+        request.triedWorkers += worker.entry.id
+        placement.onSent(nowMs, query, worker)
+        val maxConnectionIdleMs = if (request.route.isIdempotent) Long.MAX_VALUE else MAX_IDLE_IF_NOT_IDEMPOTENT_MS
+        return RequestAction.Send(
+            worker,
+            query.timeLeftMs,
+            maxConnectionIdleMs,
+            maxIdleConnections = worker.connectionLimit - worker.inFlight,
+            relay = relay?.sender,
+        )
+    }
+
+    private fun chooseRelay(
+        nowMs: Long,
+        query: PlacementQuery,
+        worker: TrackedWorker,
+    ): PeerReport? {
+        val workerRegion = settings.regionByZone[worker.entry.availabilityZone]
+        val reaching = fleet.reachingPeers(nowMs).filter { it.ageMs <= settings.reach.peerReachMaxAgeMs }.map { it.report }
+        return relays.choose(nowMs, reaching, workerRegion, query.homeRegions)
+    }
+
+    private fun refuse(
+        nowMs: Long,
+        request: TrafficRequest,
+        cause: RefusalCause,
+        retryAfterMs: Long,
+    ): RequestAction.Refuse {
+        // The token of a request that was never sent is not refunded: otherwise a workspace could exceed its rate endlessly.
+        if (request.attempts > 0) request.workspace?.let { rateLimiter.refund(nowMs, it.id) }
+        return RequestAction.Refuse(cause, retryAfterMs)
+    }
+
+    private fun queryOf(
+        nowMs: Long,
+        request: TrafficRequest,
+    ) = PlacementQuery(
+        route = request.route,
+        upstream = request.upstream,
+        affinityHash = request.affinityHash,
+        hasAffinityKey = request.hasAffinityKey,
+        requestHash = request.requestHash,
+        isCallerRetry = request.isCallerRetry,
+        homeRegions = homeRegionsOf(request.route, request.workspace),
+        triedWorkers = request.triedWorkers,
+        timeLeftMs = request.deadlineAtMs - nowMs,
+        priorityRank = request.priorityRank,
+    )
+
+    /** Returns the regions in which a request may be executed, or null for all; the restrictions of route and workspace both apply. */
+    private fun homeRegionsOf(
+        route: TrafficRoute,
+        workspace: Workspace?,
+    ): Set<RegionId>? {
+        val ofRoute = route.homeRegions.ifEmpty { null }
+        val ofWorkspace = workspace?.homeRegions?.ifEmpty { null }
+        return if (ofRoute != null && ofWorkspace != null) ofRoute intersect ofWorkspace else ofRoute ?: ofWorkspace
+    }
+
+    private companion object {
+        /** Attempts beyond the route's maximum that are allowed if workers were unreachable or did not execute the request. */
+        const val EXTRA_ATTEMPTS = 2
+
+        /** No worker responds in less time. */
+        const val MIN_TIME_LEFT_MS = 20L
+
+        /** A request that is not idempotent reuses a connection only if a response within this time proved that it works. */
+        const val MAX_IDLE_IF_NOT_IDEMPOTENT_MS = 1_000L
+        const val NO_WORKER_RETRY_AFTER_MS = 1_000L
+        const val DEFAULT_RETRY_AFTER_MS = 300L
+    }
+}
--- /dev/null
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/RequestAdmission.kt
@@ -0,0 +1,131 @@
+package io.kumquatmill.traffic.control
+
+import io.kumquatmill.common.hash.stableHash
+import io.kumquatmill.traffic.crash.CrashingRequests
+import io.kumquatmill.traffic.crash.RequestFingerprint
+import io.kumquatmill.traffic.model.DesiredState
+import io.kumquatmill.traffic.model.Workspace
+import io.kumquatmill.traffic.ratelimit.RateLimitDecision
+import io.kumquatmill.traffic.ratelimit.WorkspaceRateLimiter
+import io.kumquatmill.traffic.route.RouteIndex
+import io.kumquatmill.traffic.route.WeightedRoundRobin
+import kotlin.math.min
+
+/**
+ * Admission: decides whether a request may be sent at all, by route, key, quarantine and rate limit.
+ *
+ * @param first returns the first action for a request that is admitted
+ */
+internal class RequestAdmission(
+    private val rateLimiter: WorkspaceRateLimiter,
+    private val crashingRequests: CrashingRequests,
+    private val first: (nowMs: Long, request: TrafficRequest) -> RequestAction,
+) {
+    private val roundRobin = WeightedRoundRobin()
+    private val callerRetries = CallerRetryDetector()
+    private var desired: DesiredState? = null
+    private var routes = RouteIndex(emptyList())
+    private var workspacesByKey: Map<String, Workspace> = emptyMap()
+    private var priorities: List<Int> = emptyList()
+
+    /** Applies a new [desired] state. */
+    fun update(
+        nowMs: Long,
+        desired: DesiredState,
+    ) {
+        this.desired = desired
+        routes = RouteIndex(desired.routes)
+        workspacesByKey = desired.workspaces.flatMap { workspace -> workspace.keys.map { it to workspace } }.toMap()
+        priorities =
+            desired.routes
+                .map { it.priority }
+                .distinct()
+                .sorted()
+        rateLimiter.update(nowMs, desired.workspaces)
+    }
+
+    /** See [TrafficController.resolve]. */
+    fun resolve(
+        host: String,
+        path: String,
+        key: String?,
+    ): RouteResolution {
+        val desired = this.desired ?: return RouteResolution.NotReady
+        val route = routes.match(host, path) ?: return RouteResolution.UnknownRoute
+        val workspace = key?.let { workspacesByKey[it] }
+        val needsKey = !route.isPublic && desired.isKeyRequired
+        return if (needsKey && workspace == null) RouteResolution.UnknownKey else RouteResolution.Resolved(route, workspace)
+    }
+
+    /** See [TrafficController.begin]. */
+    fun begin(
+        nowMs: Long,
+        resolved: RouteResolution.Resolved,
+        affinityKey: String?,
+        requestId: String,
+        deadlineMs: Long?,
+        fingerprint: RequestFingerprint,
+    ): Pair<TrafficRequest?, RequestAction> {
+        crashingRequests.quarantinedForMs(nowMs, fingerprint)?.let { return null to RequestAction.Refuse(RefusalCause.QUARANTINED, it) }
+        val route = resolved.route
+        val maxTokenWaitMs = (route.targetLatencyMs * TOKEN_WAIT_FRACTION).toLong()
+        val decision = resolved.workspace?.let { rateLimiter.take(nowMs, it.id, maxTokenWaitMs) } ?: RateLimitDecision.Granted
+        if (decision is RateLimitDecision.Refused) {
+            return null to RequestAction.Refuse(RefusalCause.RATE_LIMIT_EXCEEDED, decision.retryAfterMs)
+        }
+        val upstream = roundRobin.next(route) ?: return null to RequestAction.Refuse(RefusalCause.NO_WORKER, NO_WORKER_RETRY_AFTER_MS)
+        val timeoutMs = min(route.timeoutMs ?: Long.MAX_VALUE, deadlineMs ?: DEFAULT_DEADLINE_MS)
+        val requestHash = stableHash(requestId)
+        val request =
+            TrafficRequest(
+                route = route,
+                workspace = resolved.workspace,
+                upstream = upstream,
+                deadlineAtMs = nowMs + timeoutMs,
+                tokenWaitEndsAtMs = nowMs + maxTokenWaitMs,
+                affinityHash = if (affinityKey == null) requestHash else stableHash("${route.id.value}/$affinityKey"),
+                hasAffinityKey = affinityKey != null,
+                requestHash = requestHash,
+                isCallerRetry = deadlineMs != null && callerRetries.isRetry(route.id, deadlineMs),
+                priorityRank = priorities.indexOf(route.priority).coerceAtLeast(0),
+                fingerprint = fingerprint,
+            )
+        return request to
+            (if (decision is RateLimitDecision.Pending) waitForTokens(request, decision) else first(nowMs, request))
+    }
+
+    private fun waitForTokens(
+        request: TrafficRequest,
+        decision: RateLimitDecision.Pending,
+    ): RequestAction.Wait {
+        request.isWaiting = true
+        return RequestAction.Wait(decision.afterMs)
+    }
+
+    /** See [TrafficController.resume]. */
+    fun resume(
+        nowMs: Long,
+        request: TrafficRequest,
+    ): RequestAction {
+        check(request.isWaiting) { "request of route ${request.route.id} does not wait for tokens: continue each wait once" }
+        request.isWaiting = false
+        val maxWaitMs = request.tokenWaitEndsAtMs - nowMs
+        val decision =
+            request.workspace?.let { rateLimiter.takeAfterWait(nowMs, it.id, ++request.tokenWaits, maxWaitMs) }
+                ?: RateLimitDecision.Granted
+        return when (decision) {
+            is RateLimitDecision.Refused -> RequestAction.Refuse(RefusalCause.RATE_LIMIT_EXCEEDED, decision.retryAfterMs)
+            is RateLimitDecision.Pending -> waitForTokens(request, decision)
+            is RateLimitDecision.Granted -> first(nowMs, request)
+        }
+    }
+
+    private companion object {
+        /** Applies to callers that state no deadline; the platform's callers always do. */
+        const val DEFAULT_DEADLINE_MS = 10_000L
+
+        /** Fraction of a route's target latency for which a request may wait for rate tokens: enough is left to meet the target. */
+        const val TOKEN_WAIT_FRACTION = 0.25
+        const val NO_WORKER_RETRY_AFTER_MS = 1_000L
+    }
+}
