Number the requests of RepeatedRequestTest's server when they arrive

The test of a copy beside a long body failed in one of three runs, at a load of 24 on 8 cores: its server numbered a request before it had arrived, so that the third one could count as the second and be refused.

--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/http/RepeatedRequestTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/http/RepeatedRequestTest.kt
@@ -10,11 +10,11 @@
 import org.xnio.OptionMap
 import org.xnio.Options
 import org.xnio.Xnio
+import java.io.InputStream
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
-import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 import kotlin.test.AfterTest
@@ -179,32 +179,25 @@
 
     @Test
     fun `a copy that arrives while the body of the next request is sent does not say that it has not run`() =
-        EarlyServer { socket, number ->
-            val input = socket.getInputStream()
-            val id = readHead(input)
-            if (number == 1) input.readNBytes(SMALL_BODY_BYTES)
-            if (number == 2) write(socket, refusal("r1"))
-            if (number > 1) input.readNBytes(LARGE_BODY_BYTES)
-            write(socket, if (number == 1) refusal(id) else success(id))
+        EarlyServer { number ->
+            when (number) {
+                1 -> readBody(SMALL_BODY_BYTES).also { write(refusal(id)) }
+                2 -> write(refusal("r1")).also { readBody(LARGE_BODY_BYTES) }
+                else -> readBody(LARGE_BODY_BYTES).also { write(success(id)) }
+            }
         }.use { server ->
             assertIs<AttemptResult.Shed>(send(server.address, "r1", ByteArray(SMALL_BODY_BYTES)))
-            val result = send(server.address, "r2", ByteArray(LARGE_BODY_BYTES))
-            assertIs<AttemptResult.Unknown>(result)
+            assertIs<AttemptResult.Unknown>(send(server.address, "r2", ByteArray(LARGE_BODY_BYTES)))
             assertEquals(AttemptResult.Answered(200, null), send(server.address, "r1", ByteArray(LARGE_BODY_BYTES)))
+            assertEquals(listOf(2, 1), server.requestsByConnection())
         }
 
     @Test
     fun `a refusal before the whole body has been sent counts, and its connection carries nothing more`() =
-        EarlyServer { socket, number ->
-            val input = socket.getInputStream()
-            val id = readHead(input)
-            if (number == 1) {
-                write(socket, refusal(id))
-                Thread.sleep(DELAY_MS)
-                write(socket, refusal(id))
-            }
-            input.readNBytes(LARGE_BODY_BYTES)
-            if (number > 1) write(socket, success(id))
+        EarlyServer { number ->
+            if (number == 1) write(refusal(id)).also { Thread.sleep(DELAY_MS) }.also { write(refusal(id)) }
+            readBody(LARGE_BODY_BYTES)
+            if (number > 1) write(success(id))
         }.use { server ->
             assertIs<AttemptResult.Shed>(send(server.address, "r1", ByteArray(LARGE_BODY_BYTES)))
             assertEquals(AttemptResult.Answered(200, null), send(server.address, "r1", ByteArray(LARGE_BODY_BYTES)))
@@ -251,12 +244,21 @@
             )
         }
 
-    /** Server whose [script] reads each request itself, so that it may answer before it has read the body. */
+    /** Server whose [script] reads the body of each request itself, so that it may answer before; it gets the number of the request, from 1. */
     private class EarlyServer(
-        private val script: EarlyServer.(socket: Socket, number: Int) -> Unit,
+        private val script: Request.(number: Int) -> Unit,
     ) : AutoCloseable {
+        class Request(
+            private val socket: Socket,
+            val id: String,
+        ) {
+            fun readBody(bytes: Int) = socket.getInputStream().skipNBytes(bytes.toLong())
+
+            fun write(text: String) = socket.getOutputStream().write(text.toByteArray())
+        }
+
         private val server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
-        private val ports = CopyOnWriteArrayList<Int>()
+        private val ports = ArrayList<Int>()
         val address = HostAddress("127.0.0.1", server.localPort)
 
         init {
@@ -268,12 +270,18 @@
             }
         }
 
+        /** Returns the number of requests on each connection. */
+        fun requestsByConnection(): List<Int> = synchronized(ports) { ports.groupingBy { it }.eachCount() }.values.toList()
+
+        override fun close() = server.close()
+
         private fun serve(socket: Socket) {
-            script(socket, ports.size + 1)
+            val request = Request(socket, readId(socket.getInputStream()))
+            val number = synchronized(ports) { ports.add(socket.port).let { ports.size } }
+            request.script(number)
         }
 
-        /** Reads a head and returns the id of its request. */
-        fun readHead(input: java.io.InputStream): String {
+        private fun readId(input: InputStream): String {
             val head = StringBuilder()
             while (!head.endsWith("\r\n\r\n")) {
                 val byte = input.read()
@@ -282,24 +290,6 @@
             }
             return head.toString().substringAfter("Request-Id: ").substringBefore("\r\n")
         }
-
-        fun write(
-            socket: Socket,
-            text: String,
-        ) {
-            if (socket.port !in ports || text.startsWith("HTTP/1.1 200")) ports += socket.port
-            socket.getOutputStream().write(text.toByteArray())
-        }
-
-        /** Returns the number of requests on each connection. */
-        fun requestsByConnection(): List<Int> =
-            ports
-                .groupingBy { it }
-                .eachCount()
-                .values
-                .toList()
-
-        override fun close() = server.close()
     }
 
     private companion object {
