Let a refusal say that a worker is full, without bringing back a load that it reported long ago

A host kept the last load that a worker had reported, however old, and each refusal made it count as new: one answer with a wrong load left the worker out after each later refusal, without a bound in time. BelievedAnswerTest failed before: 1490 ms instead of 0 after a refusal, a minute after a load of 1000 on 4 slots. A load whose parts exceed an Int in sum made a full worker look idle, which failed as well. Reported load and refusals are now two estimates of their own, each of which ages; a report ends the estimate of an earlier refusal, as before.

--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/TrackedWorker.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/TrackedWorker.kt
@@ -54,8 +54,8 @@
         object : LinkedHashMap<Long, Unit>(settings.cachedKeysPerWorker, LOAD_FACTOR, true) {
             override fun removeEldestEntry(eldest: MutableMap.MutableEntry<Long, Unit>): Boolean = size > settings.cachedKeysPerWorker
         }
-    private var otherHostsLoad = 0
-    private var loadReportedAtMs = Long.MIN_VALUE
+    private var reportedLoad = LoadEstimate.NONE
+    private var shedLoad = LoadEstimate.NONE
     private var smoothedSlowdown = 1.0
     private var slowdownUpdatedAtMs = 0L
     private var smoothedFailureRatio = 0.0
@@ -79,9 +79,8 @@
 
     /** Returns the estimated number of requests from all hosts at the worker. */
     fun load(nowMs: Long): Double {
-        val ageMs = if (loadReportedAtMs == Long.MIN_VALUE) settings.loadReportTtlMs else nowMs - loadReportedAtMs
-        val confidence = max(0.0, 1.0 - ageMs.toDouble() / settings.loadReportTtlMs)
-        return inFlight + otherHostsLoad * confidence
+        val otherHostsLoad = max(reportedLoad.at(nowMs, settings.loadReportTtlMs), shedLoad.at(nowMs, settings.loadReportTtlMs))
+        return inFlight + otherHostsLoad
     }
 
     /** Returns the expected time in the worker's queue in milliseconds. */
@@ -144,14 +143,13 @@
         running: Int,
         waiting: Int,
     ) {
-        otherHostsLoad = max(0, running + waiting - inFlight)
-        loadReportedAtMs = nowMs
+        reportedLoad = LoadEstimate(max(0L, running.toLong() + waiting - inFlight), nowMs)
+        shedLoad = LoadEstimate.NONE
     }
 
     /** Records that the worker shed a request, which means that it is full whatever load it reported. */
     internal fun onShed(nowMs: Long) {
-        otherHostsLoad = max(otherHostsLoad, entry.slots - inFlight)
-        loadReportedAtMs = nowMs
+        shedLoad = LoadEstimate(max(0L, entry.slots.toLong() - inFlight), nowMs)
         recordFailure(nowMs, 1.0)
     }
 
@@ -213,6 +211,21 @@
         failureRatioUpdatedAtMs = nowMs
     }
 
+    /** Number of requests from other hosts at one time, which counts less the older it is. */
+    private class LoadEstimate(
+        private val requests: Long,
+        private val observedAtMs: Long,
+    ) {
+        fun at(
+            nowMs: Long,
+            ttlMs: Long,
+        ): Double = requests * max(0.0, 1.0 - (nowMs - observedAtMs).toDouble() / ttlMs)
+
+        companion object {
+            val NONE = LoadEstimate(requests = 0, observedAtMs = 0)
+        }
+    }
+
     private fun hasColdCapacity(nowMs: Long): Boolean {
         val bucket = coldBucket
         return !isCold(nowMs) || bucket == null || bucket.timeUntilAvailableMs(nowMs, 1.0) == 0L
