--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/ResponseClassification.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/ResponseClassification.kt
@@ -86,7 +86,7 @@
     headerNames: HttpHeaderNames,
 ): WorkerLoad? {
     val fields = response.header(headerNames.workerLoad)?.split(',')?.map { it.trim().toIntOrNull() ?: return null } ?: return null
-    return if (fields.size == LOAD_FIELD_COUNT) WorkerLoad(fields[0], fields[1], fields[2]) else null
+    return if (fields.size == LOAD_FIELD_COUNT && fields.all { it >= 0 }) WorkerLoad(fields[0], fields[1], fields[2]) else null
 }
 
 /** Returns the rate limit that [response] names; the lowest one if it names several, and at most [MAX_RATE_LIMIT_PER_S]. */
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/caller/ResponseClassificationTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/caller/ResponseClassificationTest.kt
@@ -5,6 +5,7 @@
 import io.kumquatmill.traffic.control.AnswerDoubt
 import io.kumquatmill.traffic.control.AttemptResult
 import io.kumquatmill.traffic.control.StatedRateLimit
+import io.kumquatmill.traffic.control.WorkerLoad
 import io.undertow.util.HeaderMap
 import io.undertow.util.HttpString
 import kotlin.test.Test
@@ -110,6 +111,17 @@
         }
     }
 
+    @Test
+    fun `a load is three numbers that are not negative`() {
+        fun statedLoad(value: String): WorkerLoad? =
+            assertIs<AttemptResult.Answered>(classify(200, mapOf("id" to "r-1", "proof" to "p", "load" to value), false)).load
+        assertEquals(WorkerLoad(3, 0, 8), statedLoad("3,0,8"))
+        assertEquals(WorkerLoad(3, 0, 0), statedLoad(" 3, 0 ,0"))
+        listOf("", "3", "3,0", "3,0,8,1", "-3,0,8", "3,-1,8", "3,0,-8", "x,0,8", "3.5,0,8", "99999999999,0,8").forEach {
+            assertEquals(null, statedLoad(it), "load '$it'")
+        }
+    }
+
     private fun statedLimit(vararg values: String): StatedRateLimit {
         val headers = HeaderMap().put(HttpString("id"), "r-1").put(HttpString("proof"), "p")
         values.forEach { headers.add(HttpString("limit"), it) }
