--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/workerlimit/WorkerLimitSimulationTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/workerlimit/WorkerLimitSimulationTest.kt
@@ -98,4 +98,22 @@
             }
         }
     }
+
+    /** Guards against one false answer that takes a sound worker's requests away on all hosts for good. */
+    @Test
+    fun `a limit of nothing that a worker names for a moment only is lifted on all hosts`() {
+        val momentMs = listOf(WorkerLimitSimulation.NEED_STARTS_MS..WorkerLimitSimulation.NEED_STARTS_MS + 40)
+        val settings = WorkerLimitSettings()
+        listOf(7 to 160, 37 to 400).forEach { (hostCount, requestsPerS) ->
+            (listOf(null) + HostFault.entries).forEach { fault ->
+                val simulation =
+                    WorkerLimitSimulation(hostCount, 0.0, requestsPerS, setOfNotNull(fault), firstSeed, needsMs = momentMs).run()
+                val triesAgainMs = if (fault == null) settings.liftReportedMs else settings.unconfirmedAfterMs + hostCount * 1_000L
+                val fromMs = minOf(WorkerLimitSimulation.NEED_STARTS_MS + triesAgainMs, WorkerLimitSimulation.DURATION_MS - 10_000)
+                val beforePerS = simulation.arrivalsPerS(1_000, WorkerLimitSimulation.NEED_STARTS_MS)
+                val afterPerS = simulation.arrivalsPerS(fromMs, WorkerLimitSimulation.DURATION_MS)
+                assertTrue(afterPerS >= beforePerS / 2, "$hostCount hosts, $fault: $afterPerS per second, $beforePerS before")
+            }
+        }
+    }
 }
