Send nothing more to a worker that says in an answer that it leaves

LeavingWorkers now takes the word, from the head of any answer on the worker's connection, as the worker's draining entry, at once and for its lifetime (id and start), whatever the store says then. It is read before the body, so it counts in failures, refusals, late copies, heads without a body, answers whose caller has left, and through a peer; the 421 of an address is not about the expected worker unless it names it (Instance-Id). Idle connections to the worker are closed, and those in use once they are idle. Peers are told in an optional field of the report, ten bytes a worker at most; one spoilt answer must not take a worker from the whole fleet, so a host that was only told prefers others for 10 s and uses the worker when no other is left, and the worker's own later answer disproves it.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
@@ -23,6 +23,7 @@
 import io.kumquatmill.traffic.control.TrafficController
 import io.kumquatmill.traffic.crash.CrashEvent
 import io.kumquatmill.traffic.fleet.EntryHostInfo
+import io.kumquatmill.traffic.leaving.LeavingChange
 import io.kumquatmill.traffic.model.WorkerEntry
 import io.kumquatmill.traffic.ratelimit.LoanRequest
 import io.kumquatmill.traffic.reach.ReachChange
@@ -72,6 +73,7 @@
             ::probeWorker,
             ::onCrashEvent,
             ::onReachChange,
+            ::onLeavingChange,
         )
     private val httpClient = EventLoopHttpClient(loop, bufferPool, clock)
     private val loanWaiters = LoanWaiters()
@@ -259,6 +261,21 @@
         peerSynchronizer.sendReportSoon(::runAfter)
     }
 
+    private fun onLeavingChange(change: LeavingChange) {
+        metrics.countLeavingChange(change)
+        log.info(
+            "worker leaves: ${change.kind.wireName}",
+            "worker" to change.worker?.id,
+            "startedAtMs" to change.worker?.startedAtMs,
+            "isDraining" to change.worker?.isDraining,
+            "source" to change.source,
+            "ageMs" to change.ageMs,
+        )
+        if (change.kind != LeavingChange.Kind.SAID) return
+        change.worker?.let { httpClient.closeIdleConnections(it.address) }
+        peerSynchronizer.sendReportSoon(::runAfter)
+    }
+
     private fun onCrashEvent(event: CrashEvent) {
         metrics.countCrashEvent(event)
         when (event) {
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
@@ -103,6 +103,7 @@
                 sharesPerMille = controller.sharesPerMille(),
                 workerLimits = controller.workerLimits(nowMs),
                 crashes = controller.crashReport(nowMs),
+                leavingWorkers = controller.leavingWorkers(nowMs),
                 stalePeers = controller.stalePeers(nowMs),
                 workerReachAgeMs = controller.workerReachAgeMs(nowMs),
                 isCutOff = controller.isCutOff,
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
@@ -6,6 +6,7 @@
 import io.kumquatmill.gateway.http.ConnectionUse
 import io.kumquatmill.gateway.http.HttpCall
 import io.kumquatmill.gateway.http.OngoingCall
+import io.kumquatmill.gateway.http.ResponseHead
 import io.kumquatmill.gateway.log.AnswerSummary
 import io.kumquatmill.gateway.log.RequestIdentity
 import io.kumquatmill.gateway.relay.RelayHeaders
@@ -16,6 +17,7 @@
 import io.kumquatmill.traffic.control.RouteResolution
 import io.kumquatmill.traffic.control.TrafficRequest
 import io.kumquatmill.traffic.crash.RequestFingerprint
+import io.kumquatmill.traffic.model.WorkerEntry
 import io.undertow.server.HttpServerExchange
 import io.undertow.util.Headers
 import io.undertow.util.HttpString
@@ -158,6 +160,8 @@
                 connectTimeoutMs = minOf(CONNECT_TIMEOUT_MS, action.timeoutMs),
                 requestId = id,
                 isOwnResponse = { identityFlaw(it, id, headerNames) == null },
+                onHead = { head -> if (relay == null || RelayedCall.isFromWorker(head.headers)) onWorkerHead(entry, head) },
+                mayKeepConnection = { relay != null || !controller.isLeaving(entry) },
             )
         call =
             context.httpClient.send(httpCall) { callResult ->
@@ -165,6 +169,14 @@
             }
     }
 
+    private fun onWorkerHead(
+        worker: WorkerEntry,
+        head: ResponseHead,
+    ) {
+        val word = parseWorkerWord(head.status, head.headers, headerNames) ?: return
+        controller.onWorkerWord(clock.nowMs(), worker, word)
+    }
+
     private fun directResult(
         worker: WorkerId,
         callResult: CallResult,
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/HttpHeaderNames.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/HttpHeaderNames.kt
@@ -12,6 +12,8 @@
  * @property workerRateLimit requests per second that the worker takes from all hosts together, sent with a response
  * @property notExecuted marks the response of a worker that did not execute the request
  * @property workerProof proves that a worker generated the response
+ * @property leaving marks all responses of a worker that leaves; null if workers do not say so
+ * @property workerId id of the worker in those of its responses that name it; null if none do
  */
 data class HttpHeaderNames(
     val requestId: String,
@@ -23,4 +25,6 @@
     val workerRateLimit: String,
     val notExecuted: String,
     val workerProof: String,
+    val leaving: String? = null,
+    val workerId: String? = null,
 )
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/CallTransfer.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/CallTransfer.kt
@@ -94,6 +94,7 @@
     private fun readResponse(exchange: ClientExchange) {
         isHeadRead = true
         conduit.onHead()
+        call.onHead(ResponseHead(exchange.response.responseCode, exchange.response.responseHeaders, use))
         val channel = exchange.responseChannel
         val listener =
             ChannelListener { ready: StreamSourceChannel ->
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/EventLoopHttpClient.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/EventLoopHttpClient.kt
@@ -85,6 +85,9 @@
     /** Returns whether an idle connection to [address] is open. Must run on the event loop. */
     fun hasIdleConnection(address: HostAddress): Boolean = idleConnections.hasOpen(address)
 
+    /** Closes the idle connections to [address]. Must run on the event loop. */
+    fun closeIdleConnections(address: HostAddress) = idleConnections.closeAll(address)
+
     /** Closes the connections whose idle timeout has passed. Must run on the event loop. */
     fun closeExpiredConnections() = idleConnections.closeExpired()
 
@@ -145,7 +148,8 @@
         ) {
             if (isFinished) return
             markFinished()
-            connection?.let { if (call.isOwnResponse(response)) idleConnections.release(call.address, it, idleTimeoutMs) else it.abort() }
+            val keepMs = if (call.mayKeepConnection()) idleTimeoutMs else 0
+            connection?.let { if (call.isOwnResponse(response)) idleConnections.release(call.address, it, keepMs) else it.abort() }
             onResult(response)
         }
 
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/HttpCall.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/HttpCall.kt
@@ -14,6 +14,8 @@
  * @property requestId id by which a response names this request, or null if responses name none
  * @property isOwnResponse returns whether a response is the one to this request; the connection of any other is closed, as the right one
  * may still arrive there
+ * @property onHead called with the head of any response that arrives, before its body and also if that never arrives
+ * @property mayKeepConnection returns whether the connection may stay open for other requests, once the response has arrived
  */
 class HttpCall(
     val address: HostAddress,
@@ -27,6 +29,8 @@
     val timeoutMs: Long? = null,
     val requestId: String? = null,
     val isOwnResponse: (CallResult.Response) -> Boolean = { true },
+    val onHead: (ResponseHead) -> Unit = { },
+    val mayKeepConnection: () -> Boolean = { true },
 ) {
     private companion object {
         val EMPTY = ByteArray(0)
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
@@ -4,6 +4,7 @@
 import io.kumquatmill.traffic.control.AttemptResult
 import io.kumquatmill.traffic.control.StatedRateLimit
 import io.kumquatmill.traffic.crash.CrashEvent
+import io.kumquatmill.traffic.leaving.LeavingChange
 import io.kumquatmill.traffic.workerlimit.WorkerLimitChange
 import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.Timer
@@ -77,6 +78,9 @@
                 registry.counter("kumquatmill.requests.quarantine.changes", "kind", if (event.isQuarantined) "set" else "lifted")
         }.increment()
 
+    /** Counts a [change] of what this host knows about a worker that leaves. */
+    fun countLeavingChange(change: LeavingChange) = registry.counter("kumquatmill.worker.leaving", "kind", change.kind.wireName).increment()
+
     /** Counts a store call that ended with [outcome]. */
     fun countStoreCall(outcome: String) = registry.counter("kumquatmill.store.calls", "outcome", outcome).increment()
 
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/ReportFrame.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/ReportFrame.kt
@@ -20,6 +20,7 @@
     @SerialName("d") val version: Long? = null,
     @SerialName("l") val workerLimits: WorkerLimitColumns = WorkerLimitColumns(),
     @SerialName("c") val crashes: CrashColumns = CrashColumns(),
+    @SerialName("e") val leavingWorkers: LeavingColumns? = null,
     @SerialName("o") val workerReachAgeMs: Long? = null,
     @SerialName("x") val isCutOff: Boolean = false,
 ) {
@@ -39,6 +40,7 @@
             sharesPerMille = workspaces.sharesPerMille(),
             workerLimits = workerLimits.toObservations(),
             crashes = crashes.toReport(),
+            leavingWorkers = leavingWorkers?.toAges().orEmpty(),
             stalePeers = stalePeers,
             workerReachAgeMs = workerReachAgeMs?.also { require(it >= 0) { "negative time since a worker responded: $it" } },
             isCutOff = isCutOff,
@@ -60,6 +62,7 @@
                 version = report.version,
                 workerLimits = WorkerLimitColumns.of(report.workerLimits),
                 crashes = CrashColumns.of(report.crashes),
+                leavingWorkers = report.leavingWorkers.ifEmpty { null }?.let { LeavingColumns.of(it) },
                 workerReachAgeMs = report.workerReachAgeMs,
                 isCutOff = report.isCutOff,
             )
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/relay/RelayHandler.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/relay/RelayHandler.kt
@@ -8,12 +8,14 @@
 import io.kumquatmill.gateway.caller.closeConnection
 import io.kumquatmill.gateway.caller.endToEndHeaders
 import io.kumquatmill.gateway.caller.identityFlaw
+import io.kumquatmill.gateway.caller.parseWorkerWord
 import io.kumquatmill.gateway.caller.rawTarget
 import io.kumquatmill.gateway.caller.sendBody
 import io.kumquatmill.gateway.http.CallResult
 import io.kumquatmill.gateway.http.EventLoopHttpClient
 import io.kumquatmill.gateway.http.HttpCall
 import io.kumquatmill.gateway.http.OngoingCall
+import io.kumquatmill.gateway.http.ResponseHead
 import io.kumquatmill.gateway.log.AnswerSummary
 import io.kumquatmill.gateway.log.RequestLog
 import io.kumquatmill.gateway.metrics.GatewayMetrics
@@ -134,10 +136,17 @@
                     timeoutMs = timeLimitMs,
                     requestId = requestId,
                     isOwnResponse = { response -> requestId == null || identityFlaw(response, requestId, headerNames) == null },
+                    onHead = { onHead(it) },
+                    mayKeepConnection = { !controller.isLeaving(worker) },
                 )
             call = httpClient.send(httpCall) { onResult(it) }
         }
 
+        private fun onHead(head: ResponseHead) {
+            val word = parseWorkerWord(head.status, head.headers, headerNames) ?: return
+            controller.onWorkerWord(clock.nowMs(), worker, word)
+        }
+
         private fun onResult(result: CallResult) {
             if (isFinished) return
             end()
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/relay/RelayResult.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/relay/RelayResult.kt
@@ -4,6 +4,7 @@
 import io.kumquatmill.gateway.http.CallResult
 import io.kumquatmill.traffic.control.AnswerDoubt
 import io.kumquatmill.traffic.control.AttemptResult
+import io.undertow.util.HeaderMap
 
 /** How a request that a host passed on for a peer ended; [wireName] is its name between hosts. */
 internal enum class RelayResult(
@@ -61,6 +62,10 @@
     ) : RelayedCall
 
     companion object {
+        /** Returns whether a response of a peer with [headers] has the status and headers of a worker's response. */
+        fun isFromWorker(headers: HeaderMap): Boolean =
+            RelayResult.of(headers.getFirst(RelayHeaders.RESULT)).let { it == RelayResult.RESPONSE || it == RelayResult.RESPONSE_REUSED }
+
         /**
          * Interprets the [result] of the call to the peer, which was about the request [id]. Only the peer's own word counts for the
          * request not having been sent; peers of earlier builds do not repeat the id, which stands in header [idHeader], in such an answer.
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/peer/PeerMessageCodecTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/peer/PeerMessageCodecTest.kt
@@ -17,6 +17,7 @@
 
 class PeerMessageCodecTest {
     private val alpha = WorkspaceTag.of(WorkspaceId("alpha"))
+    private val leavingKey = byteArrayOf(0x61, 'e'.code.toByte(), 0xBF.toByte())
     private val beta = WorkspaceTag.of(WorkspaceId("beta"))
 
     private fun report(workspaces: Int = 2) =
@@ -80,6 +81,41 @@
         assertFailsWith<MalformedPeerMessageException> { PeerMessageCodec.decode(bytes) }
     }
 
+    @Test
+    fun `workers that leave are decoded as they were sent, also from a host that tells of none`() =
+        listOf(mapOf(WorkerTag(7) to 0L, WorkerTag(-8) to 10_000L), emptyMap()).forEach {
+            val sent = report().copy(leavingWorkers = it)
+            assertEquals(sent, PeerMessageCodec.decode(PeerMessageCodec.encode(PeerMessage(report = sent))).report)
+        }
+
+    @Test
+    fun `a worker that leaves adds at most ten bytes to a report, and a report without one is that of an earlier build`() {
+        val empty = PeerMessageCodec.encode(PeerMessage(report = report()))
+        val full = report().copy(leavingWorkers = (1..64).associate { WorkerTag(Int.MIN_VALUE + it) to 9_999L })
+        val size = PeerMessageCodec.encode(PeerMessage(report = full)).size
+        assertTrue(size - empty.size <= 64 * 10, "expected at most 640 bytes for 64 workers, found ${size - empty.size}")
+        assertEquals(-1, indexOf(empty, leavingKey), "a field that an earlier build does not send")
+    }
+
+    @Test
+    fun `a build that does not know the field of workers that leave reads the rest of the report`() {
+        val bytes = PeerMessageCodec.encode(PeerMessage(report = report().copy(leavingWorkers = mapOf(WorkerTag(7) to 5L))))
+        val at = indexOf(bytes, leavingKey)
+        assertTrue(at > 0, "expected the field in the encoded report")
+        val unknownKey = bytes.copyOf().also { it[at + 1] = 'q'.code.toByte() }
+        assertEquals(report(), PeerMessageCodec.decode(unknownKey).report)
+    }
+
+    @Test
+    fun `a report with a negative age of a worker that leaves, or with more tags than ages, is malformed`() {
+        val bytes = PeerMessageCodec.encode(PeerMessage(report = report(0).copy(leavingWorkers = mapOf(WorkerTag(7) to 6L))))
+        val at = indexOf(bytes, byteArrayOf(0x9F.toByte(), 6, 0xFF.toByte()))
+        assertTrue(at > 0, "expected the column in the encoded report")
+        val isNegative = bytes.copyOf().also { it[at + 1] = 0x20 }
+        val isShorter = bytes.copyOfRange(0, at + 1) + bytes.copyOfRange(at + 2, bytes.size)
+        listOf(isNegative, isShorter).forEach { assertFailsWith<MalformedPeerMessageException> { PeerMessageCodec.decode(it) } }
+    }
+
     private fun crashReport(crashes: Int = 2) =
         CrashReport(
             crashes = (1..crashes).map { CrashReport.Crash(RequestFingerprint(Long.MIN_VALUE + it), WorkerTag(-it), 86_400_000, 90) },
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/AttemptResults.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/AttemptResults.kt
@@ -2,6 +2,7 @@
 
 import io.kumquatmill.common.id.WorkerId
 import io.kumquatmill.traffic.crash.CrashingRequests
+import io.kumquatmill.traffic.leaving.LeavingWorkers
 import io.kumquatmill.traffic.model.WorkerEntry
 import io.kumquatmill.traffic.placement.Placement
 import io.kumquatmill.traffic.placement.TrackedWorker
@@ -20,6 +21,7 @@
     private val crashingRequests: CrashingRequests,
     private val reach: WorkerReach,
     private val relays: RelayPeers,
+    private val leaving: LeavingWorkers,
     private val nextAttempt: NextAttempt,
     private val entryOf: (WorkerId) -> WorkerEntry?,
 ) {
@@ -40,7 +42,10 @@
         val mayLift = result is AttemptResult.Answered && result.status < SERVER_ERROR
         workerLimits.onResponse(nowMs, attempt.sentAtMs, worker.entry, result.rateLimit, mayLift)
         recordCrashSigns(nowMs, request, attempt, result)
-        if (result is AttemptResult.Answered || result is AttemptResult.Shed) worker.onOwnAnswer()
+        if (result is AttemptResult.Answered || result is AttemptResult.Shed) {
+            worker.onOwnAnswer()
+            leaving.onAnswered(nowMs, attempt.sentAtMs, worker.entry)
+        }
         return when (result) {
             is AttemptResult.Answered -> {
                 result.load?.let { worker.onLoadReport(nowMs, it.running, it.waiting) }
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/FleetExchange.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/FleetExchange.kt
@@ -8,6 +8,7 @@
 import io.kumquatmill.traffic.fleet.WorkerLimitObservation
 import io.kumquatmill.traffic.fleet.WorkerTag
 import io.kumquatmill.traffic.fleet.WorkspaceTag
+import io.kumquatmill.traffic.leaving.LeavingWorkers
 import io.kumquatmill.traffic.ratelimit.LoanGrant
 import io.kumquatmill.traffic.ratelimit.LoanRequest
 import io.kumquatmill.traffic.ratelimit.WorkspaceRateLimiter
@@ -21,6 +22,7 @@
     private val workerLimits: WorkerLimits,
     private val crashingRequests: CrashingRequests,
     private val reach: WorkerReach,
+    private val leaving: LeavingWorkers,
 ) : PeerExchange {
     override fun updateHosts(
         nowMs: Long,
@@ -35,6 +37,7 @@
         if (isApplied) {
             workerLimits.onReport(nowMs, report)
             crashingRequests.onReport(nowMs, report)
+            leaving.onReport(nowMs, report)
         }
         return isApplied
     }
@@ -70,6 +73,8 @@
 
     override fun crashReport(nowMs: Long): CrashReport = crashingRequests.report(nowMs)
 
+    override fun leavingWorkers(nowMs: Long): Map<WorkerTag, Long> = leaving.ownWords(nowMs)
+
     override fun stalePeers(nowMs: Long): List<String> = fleet.stalePeers(nowMs)
 
     override fun isIsolated(nowMs: Long): Boolean = fleet.isIsolated(nowMs)
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/PeerExchange.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/PeerExchange.kt
@@ -66,6 +66,9 @@
     /** Returns what this host knows of requests under which workers have ended, to be reported to peers. */
     fun crashReport(nowMs: Long): CrashReport
 
+    /** Returns the workers that have said to this host that they leave, with the time since then, to be reported to peers. */
+    fun leavingWorkers(nowMs: Long): Map<WorkerTag, Long>
+
     /** Returns the names of the peers without a fresh report. */
     fun stalePeers(nowMs: Long): List<String>
 
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
@@ -8,6 +8,9 @@
 import io.kumquatmill.traffic.crash.RequestFingerprint
 import io.kumquatmill.traffic.fleet.EntryHostInfo
 import io.kumquatmill.traffic.fleet.FleetView
+import io.kumquatmill.traffic.leaving.LeavingChange
+import io.kumquatmill.traffic.leaving.LeavingWorkers
+import io.kumquatmill.traffic.leaving.WorkerWord
 import io.kumquatmill.traffic.model.SteeringState
 import io.kumquatmill.traffic.model.WorkerEntry
 import io.kumquatmill.traffic.placement.Placement
@@ -40,7 +43,7 @@
             nextAttempt.next(nowMs, request, lastFailure = null)
         }
     private val results =
-        with(parts) { AttemptResults(placement, workerLimits, crashingRequests, reach, relays, nextAttempt) { state.workers[it] } }
+        with(parts) { AttemptResults(placement, workerLimits, crashingRequests, reach, relays, leaving, nextAttempt) { state.workers[it] } }
 
     /**
      * @param sendLoanRequest sends a request for rate limit tokens to a peer
@@ -48,6 +51,7 @@
      * @param probeWorker opens a connection to a worker, the result of which is passed to [onProbed]
      * @param onCrashEvent called when a worker has ended under a request, and when a request is quarantined or cleared
      * @param onReachChange called when this host is cut off from all workers, and when it reaches them again
+     * @param onLeavingChange called when this host learns that a worker leaves, or that it does not
      * @param random chooses the workers to probe and the peers through which requests are sent
      */
     constructor(
@@ -58,8 +62,11 @@
         probeWorker: (WorkerEntry) -> Unit = { },
         onCrashEvent: (CrashEvent) -> Unit = { },
         onReachChange: (ReachChange) -> Unit = { },
+        onLeavingChange: (LeavingChange) -> Unit = { },
         random: Random = Random.Default,
-    ) : this(Parts(self, settings, sendLoanRequest, onWorkerLimitChange, probeWorker, onCrashEvent, onReachChange, random))
+    ) : this(
+        Parts(self, settings, sendLoanRequest, onWorkerLimitChange, probeWorker, onCrashEvent, onReachChange, onLeavingChange, random),
+    )
 
     /** Version of the desired state that is in effect, or null before the first one. */
     val version: Long?
@@ -92,13 +99,43 @@
     ) {
         val current = this.state.desired
         val isOlder = current != null && (state.desired == null || state.desired.version < current.version)
-        this.state = if (isOlder) state.copy(desired = current) else state
+        parts.leaving.retain(nowMs, state.workers)
+        this.state = withLeaving(if (isOlder) state.copy(desired = current) else state)
         val desired = this.state.desired
         parts.workers.update(nowMs, this.state, parts.fleet.hostNames())
         parts.crashingRequests.onEntries(nowMs, this.state.workers)
         if (desired != null && desired !== current) admission.update(nowMs, desired)
     }
 
+    /** Returns [state] with the workers as draining that have said that they leave, whatever their entries say. */
+    private fun withLeaving(state: SteeringState): SteeringState {
+        if (!parts.leaving.isAnyLeaving) return state
+        return state.copy(
+            workers =
+                state.workers.mapValues { (_, entry) ->
+                    if (parts.leaving.hasSaid(entry)) entry.asLeaving() else entry
+                },
+        )
+    }
+
+    private fun WorkerEntry.asLeaving(): WorkerEntry = if (isDraining) this else copy(isDraining = true)
+
+    /** Applies the [word] that the head of an answer has, on the connection of a request that was sent to [expected]. */
+    fun onWorkerWord(
+        nowMs: Long,
+        expected: WorkerEntry,
+        word: WorkerWord,
+    ) {
+        val worker = word.subject(expected, state.workers) ?: return
+        if (!word.isLeaving || !parts.leaving.onSaid(nowMs, worker)) return
+        state = withLeaving(state)
+        parts.workers.onLeaving(worker)
+    }
+
+    /** Returns whether the worker of [entry] must not receive new requests, because it is draining or has said that it leaves. */
+    fun isLeaving(entry: WorkerEntry): Boolean =
+        parts.leaving.hasSaid(entry) || state.workers[entry.id]?.takeIf { it.startedAtMs == entry.startedAtMs }?.isDraining ?: false
+
     /** Applies the [result] of a probe of [worker]. */
     fun onProbed(
         nowMs: Long,
@@ -137,6 +174,7 @@
         parts.workers.updateLimits(nowMs, parts.fleet.hostNames())
         parts.workerLimits.updateParts(nowMs)
         parts.crashingRequests.tick(nowMs)
+        parts.leaving.tick(nowMs)
         parts.reach.tick(nowMs, state.workers.values) { parts.fleet.reachingPeers(nowMs).map { it.ageMs } }
     }
 
@@ -198,18 +236,21 @@
         probeWorker: (WorkerEntry) -> Unit,
         onCrashEvent: (CrashEvent) -> Unit,
         private val onReachChange: (ReachChange) -> Unit,
+        onLeavingChange: (LeavingChange) -> Unit,
         random: Random,
     ) {
         private val zone = AvailabilityZoneId(self.availabilityZone)
         val fleet = FleetView(self, settings.fleet, minFleetSize = settings.regionByZone.size)
         val rateLimiter = WorkspaceRateLimiter(fleet, settings.rateLimit, sendLoanRequest)
         val workerLimits = WorkerLimits(fleet, settings.workerLimit, settings.regionByZone, onWorkerLimitChange)
-        val workers = WorkerRegistry(self.host, settings.placement, workerLimits, settings.coldRateFactor, settings.coldRateSlack)
+        val leaving = LeavingWorkers(self.host, settings.leaving, onLeavingChange)
+        val workers =
+            WorkerRegistry(self.host, settings.placement, workerLimits, settings.coldRateFactor, settings.coldRateSlack, leaving)
         val placement = Placement(workers, settings.regionByZone, zone, settings.placement)
         val crashingRequests = CrashingRequests(self.host, settings.crash, probeWorker, onCrashEvent)
         val reach = WorkerReach(settings.reach, random, probeWorker, ::onReachChanged)
         val relays = RelayPeers(settings.regionByZone[zone], settings.reach, random)
-        val exchange = FleetExchange(fleet, rateLimiter, workerLimits, crashingRequests, reach)
+        val exchange = FleetExchange(fleet, rateLimiter, workerLimits, crashingRequests, reach, leaving)
 
         private fun onReachChanged(change: ReachChange) {
             workers.forgetFailures()
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficSettings.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficSettings.kt
@@ -4,6 +4,7 @@
 import io.kumquatmill.common.id.RegionId
 import io.kumquatmill.traffic.crash.CrashSettings
 import io.kumquatmill.traffic.fleet.FleetSettings
+import io.kumquatmill.traffic.leaving.LeavingSettings
 import io.kumquatmill.traffic.placement.PlacementSettings
 import io.kumquatmill.traffic.ratelimit.RateLimitSettings
 import io.kumquatmill.traffic.reach.ReachSettings
@@ -32,4 +33,5 @@
     val workerLimit: WorkerLimitSettings = WorkerLimitSettings(),
     val crash: CrashSettings = CrashSettings(),
     val reach: ReachSettings = ReachSettings(),
+    val leaving: LeavingSettings = LeavingSettings(),
 )
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/PeerReport.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/PeerReport.kt
@@ -14,6 +14,7 @@
  * without demand are left out
  * @property workerLimits the host's own observations of the rates that workers take
  * @property crashes what the host knows of requests under which workers have ended
+ * @property leavingWorkers workers that have said to the host that they leave, with the time since then in milliseconds
  * @property stalePeers names of the peers without a fresh report
  * @property workerReachAgeMs time in milliseconds since a worker last responded to the host directly, or null if none has
  * @property isCutOff whether the host is cut off from all workers and sends requests through its peers
@@ -32,6 +33,7 @@
     val sharesPerMille: Map<WorkspaceTag, Int> = emptyMap(),
     val workerLimits: Map<WorkerTag, WorkerLimitObservation> = emptyMap(),
     val crashes: CrashReport = CrashReport(),
+    val leavingWorkers: Map<WorkerTag, Long> = emptyMap(),
     val stalePeers: List<String> = emptyList(),
     val workerReachAgeMs: Long? = null,
     val isCutOff: Boolean = false,
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
@@ -53,11 +53,21 @@
         if (available.isEmpty()) {
             return if (eligible.isEmpty()) PlacementChoice.NoWorker else PlacementChoice.NoCapacity(unavailableMs(nowMs, query, eligible))
         }
-        val candidates = ranked(query, available).mapIndexed { rank, worker -> candidate(nowMs, query, worker, rank) }
-        val best = candidates.filter { it.acceptsKey && isInTime(query, it) }.minByOrNull { it.costMs }
+        val (toldLeaving, others) = available.partition { workers.isToldLeaving(nowMs, it) }
+        val best = best(nowMs, query, others) ?: best(nowMs, query, toldLeaving)
         return best?.let { PlacementChoice.Chosen(it.worker, it.waitMs, it.serviceMs) } ?: noCapacity(nowMs, query, available)
     }
 
+    private fun best(
+        nowMs: Long,
+        query: PlacementQuery,
+        available: List<TrackedWorker>,
+    ): Candidate? =
+        ranked(query, available)
+            .mapIndexed { rank, worker -> candidate(nowMs, query, worker, rank) }
+            .filter { it.acceptsKey && isInTime(query, it) }
+            .minByOrNull { it.costMs }
+
     /** Records that the request of [query] was sent to [worker]. */
     fun onSent(
         nowMs: Long,
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/WorkerRegistry.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/WorkerRegistry.kt
@@ -4,6 +4,7 @@
 import io.kumquatmill.common.id.UpstreamId
 import io.kumquatmill.common.id.WorkerId
 import io.kumquatmill.limits.bucket.TokenBucket
+import io.kumquatmill.traffic.leaving.LeavingWorkers
 import io.kumquatmill.traffic.model.SteeringState
 import io.kumquatmill.traffic.model.Upstream
 import io.kumquatmill.traffic.model.WorkerEntry
@@ -18,6 +19,7 @@
  * @param rateLimits rates that the workers take from all hosts together
  * @param coldRateFactor multiple of a cold worker's rate limit that all hosts together may reach
  * @param coldRateSlack additional requests that all hosts together may send to a cold worker in any second
+ * @param leaving workers that have said that they leave
  */
 class WorkerRegistry internal constructor(
     selfName: String,
@@ -25,6 +27,7 @@
     private val rateLimits: WorkerLimits,
     private val coldRateFactor: Double,
     private val coldRateSlack: Double,
+    private val leaving: LeavingWorkers = LeavingWorkers(selfName),
 ) {
     private val workers = HashMap<WorkerId, TrackedWorker>()
     private val owners = RateOwners(selfName)
@@ -70,6 +73,19 @@
     fun workersOf(upstream: UpstreamId): List<TrackedWorker> =
         workersByUpstream[upstream].orEmpty().filter { it.entry.availabilityZone !in evacuatedZones }
 
+    /** Returns whether a peer has reported that [worker] leaves, so that others are preferred. */
+    fun isToldLeaving(
+        nowMs: Long,
+        worker: TrackedWorker,
+    ): Boolean = leaving.isTold(nowMs, worker.entry)
+
+    /** Sends no more requests to the worker of [entry], which has said that it leaves. */
+    fun onLeaving(entry: WorkerEntry) {
+        val worker = workers[entry.id]?.takeIf { it.entry.startedAtMs == entry.startedAtMs } ?: return
+        worker.entry = worker.entry.copy(isDraining = true)
+        worker.isLeaving = true
+    }
+
     /** Forgets the failures of all workers, because they are reached in another way from now on. */
     fun forgetFailures() = workers.values.forEach { it.forgetFailures() }
 
