Reject a request with several ids or an empty one, which no answer can name

What a connection has carried, and which request an answer names, rests on one id for each request. A caller's head with two different ids was passed on with both, and the order was answered 502, whatever the worker did with it; an order with an empty id ran. Neither made a host believe a wrong refusal: an answer that names another id than the first is doubted and closes its connection. Both are now rejected with 400 like a request without id; an id that is repeated unchanged is accepted as before.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerHandler.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerHandler.kt
@@ -85,7 +85,10 @@
         exchange: HttpServerExchange,
         body: ByteArray,
     ) {
-        val id = exchange.requestHeaders.getFirst(context.headerNames.requestId) ?: return reject(exchange, LocalResponse.missingRequestId)
+        val idValues: Collection<String> = exchange.requestHeaders.get(context.headerNames.requestId) ?: emptyList()
+        val ids = idValues.filter { it.isNotBlank() }.distinct()
+        if (ids.size > 1) return reject(exchange, LocalResponse.ambiguousRequestId)
+        val id = ids.firstOrNull() ?: return reject(exchange, LocalResponse.missingRequestId)
         val host = exchange.requestHeaders.getFirst(Headers.HOST).orEmpty()
         when (val resolved = controller.resolve(host, exchange.rawPath, exchange.bearerKey)) {
             is RouteResolution.NotReady -> reject(exchange, LocalResponse.hostStarting)
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/LocalResponse.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/LocalResponse.kt
@@ -44,6 +44,7 @@
         val ambiguousLength =
             LocalResponse(BAD_REQUEST, "malformed-request", "the length of the body is unclear: send one Content-Length or chunks")
         val missingRequestId = LocalResponse(BAD_REQUEST, "malformed-request", "the request has no id: send one")
+        val ambiguousRequestId = LocalResponse(BAD_REQUEST, "malformed-request", "the request has several ids: send one")
         val unreadable = LocalResponse(BAD_REQUEST, "malformed-request", "the body can't be read: send it again")
         val bodyTooLarge = LocalResponse(CONTENT_TOO_LARGE, "body-too-large", "the body is too large: send less")
         val unknownKey = LocalResponse(UNAUTHORIZED, "key-unknown", "the key is missing or unknown: send a valid one")
