Send a worker nothing in the pause that its 503 names

WorkerPauses keeps the pause for the worker's lifetime, on this host, also as the last worker, after a lost peer, for a retry, and for requests of peers that this host passes on; it outlives new settings and the worker's entry, and holds beside the worker's rate limit. When all workers of an upstream want a pause, requests are refused at once, to be retried after the first pause that ends, spread over a second. A pause counts only in a 503 that names its request alone and is the first answer to it on its connection, as a copied refusal would keep a worker out (docs/incidents/copied-refusals.md); it ends by itself after 60 s at most. Seconds, fractions and dates are read (a date counts from that of the answer); the longest of several counts; negative times and garbage do not.

WorkerPauseSimulationTest (7, 37, 300 hosts; 1 and 4 workers; cut off, frozen, restarted; entries written again, gone and back): no request in a pause; without reading it up to 115, 63 and 28, where two are allowed; with three other workers at most one in a hundred is refused. WorkerPauseTest (5, sockets), WorkerPausesTest (9), WorkerWordsTest (5), LeavingWorkerTest, RelayTest, PlacementTest, TrafficControllerTest, WorkerLimitsTest and ResponseClassificationTest pass.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
@@ -25,6 +25,7 @@
 import io.kumquatmill.traffic.fleet.EntryHostInfo
 import io.kumquatmill.traffic.leaving.LeavingChange
 import io.kumquatmill.traffic.model.WorkerEntry
+import io.kumquatmill.traffic.pause.PauseChange
 import io.kumquatmill.traffic.ratelimit.LoanRequest
 import io.kumquatmill.traffic.reach.ReachChange
 import io.kumquatmill.traffic.workerlimit.WorkerLimitChange
@@ -74,6 +75,7 @@
             ::onCrashEvent,
             ::onReachChange,
             ::onLeavingChange,
+            ::onPauseChange,
         )
     private val httpClient = EventLoopHttpClient(loop, bufferPool, clock)
     private val loanWaiters = LoanWaiters()
@@ -276,6 +278,17 @@
         peerSynchronizer.sendReportSoon(::runAfter)
     }
 
+    private fun onPauseChange(change: PauseChange) {
+        metrics.countPause()
+        log.info(
+            "worker wants a pause",
+            "worker" to change.worker.id,
+            "startedAtMs" to change.worker.startedAtMs,
+            "pauseMs" to change.pauseMs,
+            "statedMs" to change.statedMs,
+        )
+    }
+
     private fun onCrashEvent(event: CrashEvent) {
         metrics.countCrashEvent(event)
         when (event) {
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
@@ -160,7 +160,7 @@
                 connectTimeoutMs = minOf(CONNECT_TIMEOUT_MS, action.timeoutMs),
                 requestId = id,
                 isOwnResponse = { identityFlaw(it, id, headerNames) == null },
-                onHead = { head -> if (relay == null || RelayedCall.isFromWorker(head.headers)) onWorkerHead(entry, head) },
+                onHead = { head -> if (relay == null || RelayedCall.isFromWorker(head.headers)) onWorkerHead(entry, head, relay != null) },
                 mayKeepConnection = { relay != null || !controller.isLeaving(entry) },
             )
         call =
@@ -172,8 +172,11 @@
     private fun onWorkerHead(
         worker: WorkerEntry,
         head: ResponseHead,
+        isRelayed: Boolean,
     ) {
-        val word = parseWorkerWord(head.status, head.headers, headerNames) ?: return
+        val isFirstAnswer = if (isRelayed) !RelayedCall.mayBeCopy(head.headers) else !head.use.isRepeat
+        val word = parseWorkerWord(head.status, head.headers, id, isFirstAnswer, headerNames) ?: return
+        context.metrics.countStatedPause(word.pause)
         controller.onWorkerWord(clock.nowMs(), worker, word)
     }
 
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/ResponseClassification.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/ResponseClassification.kt
@@ -5,6 +5,7 @@
 import io.kumquatmill.traffic.control.AttemptResult
 import io.kumquatmill.traffic.control.StatedRateLimit
 import io.kumquatmill.traffic.control.WorkerLoad
+import io.undertow.util.HeaderMap
 
 private const val MISDIRECTED_REQUEST = 421
 private val successStatuses = 200..299
@@ -69,6 +70,13 @@
     return otherIdFlaw(response, id, headerNames.requestId)
 }
 
+/** Returns whether an answer with [headers] names request [id] and no other. */
+internal fun namesOnly(
+    headers: HeaderMap,
+    id: String?,
+    idHeader: String,
+): Boolean = id != null && headers.get(idHeader).orEmpty().let { ids -> ids.any() && ids.all { it == id } }
+
 /** Returns which request other than [id] the header [idHeader] of [response] names, as a flaw, or null if it names no other. */
 internal fun otherIdFlaw(
     response: CallResult.Response,
@@ -100,7 +108,7 @@
     return StatedRateLimit.Named(minOf(lowestPerS, MAX_RATE_LIMIT_PER_S))
 }
 
-private fun parseDecimal(text: String): Double? =
+internal fun parseDecimal(text: String): Double? =
     text
         .trim()
         .takeIf { it.length <= MAX_NUMBER_LENGTH && decimalPattern.matches(it) }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
@@ -5,6 +5,7 @@
 import io.kumquatmill.traffic.control.StatedRateLimit
 import io.kumquatmill.traffic.crash.CrashEvent
 import io.kumquatmill.traffic.leaving.LeavingChange
+import io.kumquatmill.traffic.pause.StatedPause
 import io.kumquatmill.traffic.workerlimit.WorkerLimitChange
 import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.Timer
@@ -81,6 +82,20 @@
     /** Counts a [change] of what this host knows about a worker that leaves. */
     fun countLeavingChange(change: LeavingChange) = registry.counter("kumquatmill.worker.leaving", "kind", change.kind.wireName).increment()
 
+    /** Counts a refusal that names a time for which its worker wants no requests, or one that cannot be read. */
+    fun countStatedPause(stated: StatedPause) {
+        val kind =
+            when (stated) {
+                is StatedPause.None -> return
+                is StatedPause.Named -> "named"
+                is StatedPause.Invalid -> "invalid"
+            }
+        registry.counter("kumquatmill.worker.pauses.stated", "kind", kind).increment()
+    }
+
+    /** Counts a pause that this host keeps from now on. */
+    fun countPause() = registry.counter("kumquatmill.worker.pauses").increment()
+
     /** Counts a store call that ended with [outcome]. */
     fun countStoreCall(outcome: String) = registry.counter("kumquatmill.store.calls", "outcome", outcome).increment()
 
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/relay/RelayHandler.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/relay/RelayHandler.kt
@@ -72,6 +72,7 @@
         when {
             !isServing() || controller.isCutOff -> refuse(exchange, peerIp, "this host does not serve")
             worker == null -> refuse(exchange, peerIp, "no worker $id to send to")
+            controller.isPaused(clock.nowMs(), worker) -> refuse(exchange, peerIp, "worker $id wants a pause")
             activeCount >= maxRelays -> refuse(exchange, peerIp, "$activeCount requests in progress")
             else -> Relay(exchange, peerIp, worker, body).start()
         }
@@ -143,7 +144,10 @@
         }
 
         private fun onHead(head: ResponseHead) {
-            val word = parseWorkerWord(head.status, head.headers, headerNames) ?: return
+            val isFirstAnswer = !head.use.isRepeat
+            val id = exchange.requestHeaders.getFirst(headerNames.requestId)
+            val word = parseWorkerWord(head.status, head.headers, id, isFirstAnswer, headerNames) ?: return
+            metrics.countStatedPause(word.pause)
             controller.onWorkerWord(clock.nowMs(), worker, word)
         }
 
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/relay/RelayResult.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/relay/RelayResult.kt
@@ -66,6 +66,11 @@
         fun isFromWorker(headers: HeaderMap): Boolean =
             RelayResult.of(headers.getFirst(RelayHeaders.RESULT)).let { it == RelayResult.RESPONSE || it == RelayResult.RESPONSE_REUSED }
 
+        /** Returns whether a worker's response with [headers] may be the copy of an earlier one on the peer's connection. */
+        fun mayBeCopy(headers: HeaderMap): Boolean =
+            RelayResult.of(headers.getFirst(RelayHeaders.RESULT)) == RelayResult.RESPONSE_REUSED &&
+                headers.getFirst(RelayHeaders.REPEAT) != RelayHeaders.REPEAT_NO
+
         /**
          * Interprets the [result] of the call to the peer, which was about the request [id]. Only the peer's own word counts for the
          * request not having been sent; peers of earlier builds do not repeat the id, which stands in header [idHeader], in such an answer.
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/NextAttempt.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/NextAttempt.kt
@@ -14,6 +14,7 @@
 import io.kumquatmill.traffic.reach.RelayPeers
 import io.kumquatmill.traffic.reach.WorkerReach
 import io.kumquatmill.traffic.retry.RetryBudget
+import kotlin.math.max
 
 /** The next attempt: decides to which worker an admitted request is sent, through which peer, or how the request ends. */
 internal class NextAttempt(
@@ -44,9 +45,11 @@
         crashingRequests.quarantinedForMs(nowMs, request.fingerprint)?.let {
             return lastFailure ?: refuse(nowMs, request, RefusalCause.QUARANTINED, it)
         }
-        if (isExhausted) return lastFailure ?: refuse(nowMs, request, RefusalCause.RETRIES_EXHAUSTED, DEFAULT_RETRY_AFTER_MS)
         val query = queryOf(nowMs, request)
-        if (query.timeLeftMs < MIN_TIME_LEFT_MS) return lastFailure ?: refuse(nowMs, request, RefusalCause.TOO_LATE, DEFAULT_RETRY_AFTER_MS)
+        if (isExhausted) return lastFailure ?: refuse(nowMs, request, RefusalCause.RETRIES_EXHAUSTED, retryAfterMs(nowMs, query))
+        if (query.timeLeftMs < MIN_TIME_LEFT_MS) {
+            return lastFailure ?: refuse(nowMs, request, RefusalCause.TOO_LATE, retryAfterMs(nowMs, query))
+        }
         return when (val choice = placement.choose(nowMs, query)) {
             is PlacementChoice.NoWorker -> lastFailure ?: refuse(nowMs, request, RefusalCause.NO_WORKER, NO_WORKER_RETRY_AFTER_MS)
             is PlacementChoice.NoCapacity -> lastFailure ?: refuse(nowMs, request, RefusalCause.NO_CAPACITY, choice.retryAfterMs)
@@ -54,11 +57,17 @@
                 if (maySend(nowMs, request, isBudgetExempt)) {
                     send(nowMs, request, query, choice)
                 } else {
-                    lastFailure ?: refuse(nowMs, request, RefusalCause.RETRIES_EXHAUSTED, DEFAULT_RETRY_AFTER_MS)
+                    lastFailure ?: refuse(nowMs, request, RefusalCause.RETRIES_EXHAUSTED, retryAfterMs(nowMs, query))
                 }
         }
     }
 
+    /** Returns when to retry a request that was not refused for its workers; if they all want a pause, not before one of them ends. */
+    private fun retryAfterMs(
+        nowMs: Long,
+        query: PlacementQuery,
+    ): Long = max(DEFAULT_RETRY_AFTER_MS, placement.pausedMs(nowMs, query) ?: 0)
+
     private fun maySend(
         nowMs: Long,
         request: TrafficRequest,
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
@@ -13,6 +13,9 @@
 import io.kumquatmill.traffic.leaving.WorkerWord
 import io.kumquatmill.traffic.model.SteeringState
 import io.kumquatmill.traffic.model.WorkerEntry
+import io.kumquatmill.traffic.pause.PauseChange
+import io.kumquatmill.traffic.pause.StatedPause
+import io.kumquatmill.traffic.pause.WorkerPauses
 import io.kumquatmill.traffic.placement.Placement
 import io.kumquatmill.traffic.placement.WorkerRegistry
 import io.kumquatmill.traffic.ratelimit.LoanRequest
@@ -52,6 +55,7 @@
      * @param onCrashEvent called when a worker has ended under a request, and when a request is quarantined or cleared
      * @param onReachChange called when this host is cut off from all workers, and when it reaches them again
      * @param onLeavingChange called when this host learns that a worker leaves, or that it does not
+     * @param onPauseChange called when a worker has named a time for which it wants no requests from this host
      * @param random chooses the workers to probe and the peers through which requests are sent
      */
     constructor(
@@ -63,9 +67,21 @@
         onCrashEvent: (CrashEvent) -> Unit = { },
         onReachChange: (ReachChange) -> Unit = { },
         onLeavingChange: (LeavingChange) -> Unit = { },
+        onPauseChange: (PauseChange) -> Unit = { },
         random: Random = Random.Default,
     ) : this(
-        Parts(self, settings, sendLoanRequest, onWorkerLimitChange, probeWorker, onCrashEvent, onReachChange, onLeavingChange, random),
+        Parts(
+            self,
+            settings,
+            sendLoanRequest,
+            onWorkerLimitChange,
+            probeWorker,
+            onCrashEvent,
+            onReachChange,
+            onLeavingChange,
+            onPauseChange,
+            random,
+        ),
     )
 
     /** Version of the desired state that is in effect, or null before the first one. */
@@ -127,6 +143,10 @@
         word: WorkerWord,
     ) {
         val worker = word.subject(expected, state.workers) ?: return
+        if (word.pause is StatedPause.Named) {
+            parts.pauses.onNamed(nowMs, worker, word.pause.pauseMs)
+            parts.workers.onPaused(worker)
+        }
         if (!word.isLeaving || !parts.leaving.onSaid(nowMs, worker)) return
         state = withLeaving(state)
         parts.workers.onLeaving(worker)
@@ -160,6 +180,12 @@
     fun relayTarget(id: WorkerId): WorkerEntry? =
         state.workers[id]?.takeIf { !it.isDraining && it.availabilityZone !in state.evacuatedZones }
 
+    /** Returns whether the worker of [entry] wants no requests from this host now. */
+    fun isPaused(
+        nowMs: Long,
+        entry: WorkerEntry,
+    ): Boolean = nowMs < parts.pauses.endsAtMs(entry)
+
     /** Records that the connection to [worker] was lost before it responded to a peer's request that was sent at [sentAtMs]. */
     fun onRelayedRequestLost(
         nowMs: Long,
@@ -175,6 +201,7 @@
         parts.workerLimits.updateParts(nowMs)
         parts.crashingRequests.tick(nowMs)
         parts.leaving.tick(nowMs)
+        parts.pauses.tick(nowMs)
         parts.reach.tick(nowMs, state.workers.values) { parts.fleet.reachingPeers(nowMs).map { it.ageMs } }
     }
 
@@ -237,6 +264,7 @@
         onCrashEvent: (CrashEvent) -> Unit,
         private val onReachChange: (ReachChange) -> Unit,
         onLeavingChange: (LeavingChange) -> Unit,
+        onPauseChange: (PauseChange) -> Unit,
         random: Random,
     ) {
         private val zone = AvailabilityZoneId(self.availabilityZone)
@@ -244,8 +272,9 @@
         val rateLimiter = WorkspaceRateLimiter(fleet, settings.rateLimit, sendLoanRequest)
         val workerLimits = WorkerLimits(fleet, settings.workerLimit, settings.regionByZone, onWorkerLimitChange)
         val leaving = LeavingWorkers(self.host, settings.leaving, onLeavingChange)
+        val pauses = WorkerPauses(settings.pause, onPauseChange)
         val workers =
-            WorkerRegistry(self.host, settings.placement, workerLimits, settings.coldRateFactor, settings.coldRateSlack, leaving)
+            WorkerRegistry(self.host, settings.placement, workerLimits, settings.coldRateFactor, settings.coldRateSlack, leaving, pauses)
         val placement = Placement(workers, settings.regionByZone, zone, settings.placement)
         val crashingRequests = CrashingRequests(self.host, settings.crash, probeWorker, onCrashEvent)
         val reach = WorkerReach(settings.reach, random, probeWorker, ::onReachChanged)
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficSettings.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficSettings.kt
@@ -5,6 +5,7 @@
 import io.kumquatmill.traffic.crash.CrashSettings
 import io.kumquatmill.traffic.fleet.FleetSettings
 import io.kumquatmill.traffic.leaving.LeavingSettings
+import io.kumquatmill.traffic.pause.PauseSettings
 import io.kumquatmill.traffic.placement.PlacementSettings
 import io.kumquatmill.traffic.ratelimit.RateLimitSettings
 import io.kumquatmill.traffic.reach.ReachSettings
@@ -34,4 +35,5 @@
     val crash: CrashSettings = CrashSettings(),
     val reach: ReachSettings = ReachSettings(),
     val leaving: LeavingSettings = LeavingSettings(),
+    val pause: PauseSettings = PauseSettings(),
 )
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/leaving/WorkerWord.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/leaving/WorkerWord.kt
@@ -2,18 +2,21 @@
 
 import io.kumquatmill.common.id.WorkerId
 import io.kumquatmill.traffic.model.WorkerEntry
+import io.kumquatmill.traffic.pause.StatedPause
 
 /**
- * What the head of an answer says about the worker at the other end of its connection, whichever request the answer is to.
+ * What the head of an answer says about the worker at the other end of its connection.
  *
  * @property isLeaving whether the worker says that it leaves
  * @property isMisdirected whether the answer says that the expected worker is not the one that answers
+ * @property pause time for which the worker wants no requests from this host
  * @property worker id by which the answer names its worker, or null if it names none
  */
 data class WorkerWord(
     val isLeaving: Boolean,
     val isMisdirected: Boolean = false,
     val worker: WorkerId? = null,
+    val pause: StatedPause = StatedPause.None,
 ) {
     /**
      * Returns the entry of the worker that this word is about, or null if it is not known.
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
@@ -198,12 +198,32 @@
         return PlacementChoice.NoCapacity(spread(query, shortestMs))
     }
 
+    /**
+     * Returns the time in milliseconds after which to retry the request of [query] if all its workers want no requests from this host for a
+     * while, or null if one does. It is not before the first of these pauses ends, and differs between requests.
+     */
+    fun pausedMs(
+        nowMs: Long,
+        query: PlacementQuery,
+    ): Long? = pausedMs(nowMs, query, workers.workersOf(query.upstream).filter { isEligible(it, query) })
+
+    private fun pausedMs(
+        nowMs: Long,
+        query: PlacementQuery,
+        eligible: List<TrackedWorker>,
+    ): Long? {
+        if (eligible.isEmpty() || eligible.any { it.pauseLeftMs(nowMs) == 0L }) return null
+        val firstMs = eligible.minOf { max(it.pauseLeftMs(nowMs), it.rateLimit.availableInMs(nowMs) ?: 0) }
+        return firstMs + spread(query, PAUSE_SPREAD_MS) - PAUSE_SPREAD_MS.toLong()
+    }
+
     /** Returns when to retry although no worker is available; if workers keep to a rate limit, not before one of them takes a request. */
     private fun unavailableMs(
         nowMs: Long,
         query: PlacementQuery,
         eligible: List<TrackedWorker>,
     ): Long {
+        pausedMs(nowMs, query, eligible)?.let { return max(it, UNAVAILABLE_RETRY_AFTER_MS) }
         val tokenMs = eligible.mapNotNull { it.rateLimit.availableInMs(nowMs) }.minOrNull() ?: 0
         return if (tokenMs <= UNAVAILABLE_RETRY_AFTER_MS) UNAVAILABLE_RETRY_AFTER_MS else spread(query, tokenMs.toDouble())
     }
@@ -235,6 +255,9 @@
         const val MIN_RETRY_AFTER_MS = 300.0
         const val SPREAD_SALT = 0x2545F4914F6CDD1DL
         const val UNAVAILABLE_RETRY_AFTER_MS = 400L
+
+        /** Time over which callers return after a pause, so that the worker is not full at once again. */
+        const val PAUSE_SPREAD_MS = 1_000.0
         const val HASH_SHIFT = 11
         const val HASH_RANGE = 9.007199254740992E15
     }
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/TrackedWorker.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/TrackedWorker.kt
@@ -43,6 +43,9 @@
     var isLeaving: Boolean = entry.isDraining
         internal set
 
+    /** Time until which the worker wants no requests from this host. */
+    internal var pausedUntilMs: Long = Long.MIN_VALUE
+
     /** Whether the last answer from the worker's address said that it belongs to another worker. */
     val isMisdirected: Boolean
         get() = misdirections > 0
@@ -74,9 +77,13 @@
     fun isAvailable(nowMs: Long): Boolean {
         val isOnTrial = isMisdirected || consecutiveFailures >= settings.failuresToEject
         val isEjected = nowMs < ejectedUntilMs || nowMs < misdirectedUntilMs || (isOnTrial && inFlight > 0)
-        return !isLeaving && !isEjected && inFlight < connectionLimit && hasColdCapacity(nowMs) && rateLimit.allows(nowMs)
+        val isWanted = !isLeaving && nowMs >= pausedUntilMs
+        return isWanted && !isEjected && inFlight < connectionLimit && hasColdCapacity(nowMs) && rateLimit.allows(nowMs)
     }
 
+    /** Returns the time in milliseconds until the worker's pause ends, 0 if it has none. */
+    fun pauseLeftMs(nowMs: Long): Long = max(0L, pausedUntilMs.coerceAtLeast(nowMs) - nowMs)
+
     /** Returns the estimated number of requests from all hosts at the worker. */
     fun load(nowMs: Long): Double {
         val ageMs = if (loadReportedAtMs == Long.MIN_VALUE) settings.loadReportTtlMs else nowMs - loadReportedAtMs
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/WorkerRegistry.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/WorkerRegistry.kt
@@ -8,6 +8,7 @@
 import io.kumquatmill.traffic.model.SteeringState
 import io.kumquatmill.traffic.model.Upstream
 import io.kumquatmill.traffic.model.WorkerEntry
+import io.kumquatmill.traffic.pause.WorkerPauses
 import io.kumquatmill.traffic.workerlimit.RateOwners
 import io.kumquatmill.traffic.workerlimit.WorkerLimits
 import kotlin.math.max
@@ -20,6 +21,7 @@
  * @param coldRateFactor multiple of a cold worker's rate limit that all hosts together may reach
  * @param coldRateSlack additional requests that all hosts together may send to a cold worker in any second
  * @param leaving workers that have said that they leave
+ * @param pauses times for which workers want no requests from this host
  */
 class WorkerRegistry internal constructor(
     selfName: String,
@@ -28,6 +30,7 @@
     private val coldRateFactor: Double,
     private val coldRateSlack: Double,
     private val leaving: LeavingWorkers = LeavingWorkers(selfName),
+    private val pauses: WorkerPauses = WorkerPauses(),
 ) {
     private val workers = HashMap<WorkerId, TrackedWorker>()
     private val owners = RateOwners(selfName)
@@ -86,6 +89,12 @@
         worker.isLeaving = true
     }
 
+    /** Applies the pause that the worker of [entry] has named. */
+    fun onPaused(entry: WorkerEntry) {
+        val worker = workers[entry.id]?.takeIf { it.entry.startedAtMs == entry.startedAtMs } ?: return
+        worker.pausedUntilMs = pauses.endsAtMs(entry)
+    }
+
     /** Forgets the failures of all workers, because they are reached in another way from now on. */
     fun forgetFailures() = workers.values.forEach { it.forgetFailures() }
 
@@ -99,6 +108,7 @@
         val worker = if (isSameProcess) known else TrackedWorker(entry, settings, rateLimits.of(entry)).also { workers[entry.id] = it }
         worker.entry = entry
         worker.isLeaving = entry.isDraining
+        worker.pausedUntilMs = pauses.endsAtMs(entry)
         worker.onEntryChanged()
         worker.coldUntilMs = nowMs + entry.warmUpRemainingMs
     }
