--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
@@ -9,6 +9,7 @@
 import io.kumquatmill.gateway.log.EventLog
 import io.kumquatmill.gateway.log.RequestLog
 import io.kumquatmill.gateway.metrics.GatewayMetrics
+import io.kumquatmill.gateway.peer.PeerInbox
 import io.kumquatmill.gateway.peer.PeerMessage
 import io.kumquatmill.gateway.peer.PeerSocket
 import io.kumquatmill.gateway.relay.RelayHandler
@@ -138,7 +139,7 @@
             random = random,
         )
     private val peerSocket =
-        PeerSocket(settings.self.ip, settings.peerReportPort, log) { message -> loop.execute { peerSynchronizer.onMessage(message) } }
+        PeerSocket(settings.self.ip, settings.peerReportPort, log, PeerInbox({ loop.execute(it) }) { peerSynchronizer.onMessage(it) }::add)
     private val peerSynchronizer: PeerSynchronizer =
         PeerSynchronizer(
             settings,
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
@@ -61,8 +61,7 @@
     fun sendReport() {
         val peers = controller.peers()
         val report = createReport()
-        if (peers.isEmpty()) return send(report, settings.seeds.map { it.ip })
-        peers.forEach { sendReport(report, it) }
+        if (peers.isEmpty()) send(report, settings.seeds.map { it.ip }) else sendReport(report, peers)
     }
 
     /** Sends a report before the next one is due, so that peers learn of an event at once; further calls are collected for a while. */
@@ -77,8 +76,10 @@
 
     private fun sendReport(
         report: PeerReport,
-        peer: EntryHostInfo,
-    ) = send(report.copy(demandPerS = controller.demandFor(peer, report.demandPerS)), listOf(peer.ip))
+        peers: List<EntryHostInfo>,
+    ) = controller.demandByPeer(peers, report.demandPerS).forEach { (demandPerS, receivers) ->
+        send(report.copy(demandPerS = demandPerS), receivers.map { it.ip })
+    }
 
     private fun send(
         report: PeerReport,
@@ -145,7 +146,7 @@
     ) {
         val isApplied = controller.onReport(nowMs, report)
         if (!isApplied || incarnationByPeer.put(report.host, report.incarnation) == report.incarnation) return
-        sendReport(createReport(), report.sender)
+        sendReport(createReport(), listOf(report.sender))
     }
 
     /** Fetches the entries of a peer when this host lags behind it, or of a seed when it is not ready and the store is unavailable. */
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/CrashColumns.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/CrashColumns.kt
@@ -37,8 +37,12 @@
         )
 
     companion object {
-        fun of(report: CrashReport) =
-            CrashColumns(
+        /** Columns of a report without crashes, which most reports are; a frame leaves them out. */
+        val EMPTY = CrashColumns()
+
+        fun of(report: CrashReport): CrashColumns {
+            if (report.crashes.isEmpty() && report.completions.isEmpty()) return EMPTY
+            return CrashColumns(
                 crashed = report.crashes.map { it.fingerprint.value },
                 workers = report.crashes.map { it.worker.value },
                 crashAgesMs = report.crashes.map { toInt(it.ageMs) },
@@ -46,6 +50,7 @@
                 completed = report.completions.map { it.fingerprint.value },
                 completionAgesMs = report.completions.map { toInt(it.ageMs) },
             )
+        }
 
         private fun toInt(timeMs: Long): Int = timeMs.coerceAtMost(Int.MAX_VALUE.toLong()).toInt()
 
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/WorkerLimitColumns.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/WorkerLimitColumns.kt
@@ -36,11 +36,16 @@
         private const val NO_LIMIT = -1
         private const val PER_MILLE = 1_000.0
 
-        fun of(observations: Map<WorkerTag, WorkerLimitObservation>) =
-            WorkerLimitColumns(
+        /** Columns of a report without observations; a frame leaves them out. */
+        val EMPTY = WorkerLimitColumns()
+
+        fun of(observations: Map<WorkerTag, WorkerLimitObservation>): WorkerLimitColumns {
+            if (observations.isEmpty()) return EMPTY
+            return WorkerLimitColumns(
                 tags = observations.keys.map { it.value },
                 limitsPerMille = observations.values.map { it.limitPerS?.let { limit -> (limit * PER_MILLE).roundToInt() } ?: NO_LIMIT },
                 agesMs = observations.values.map { it.ageMs.coerceAtMost(Int.MAX_VALUE.toLong()).toInt() },
             )
+        }
     }
 }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StateCache.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StateCache.kt
@@ -46,6 +46,7 @@
     private val snapshotRevisions = HashMap<String, Long>()
     private val graceEndsAtMs = HashMap<String, Long>()
     private val workers = HashMap<String, Decoded<WorkerEntry?>>()
+    private val hostRecords = HashMap<String, EntryHostInfo>()
     private var desired: Decoded<DesiredState>? = null
     private var lastOutageEndMs: Long? = null
     private var isStoreUnavailable = false
@@ -154,14 +155,15 @@
     fun allEntries(): List<StoreEntry> = entries.values.toList()
 
     /** Returns the host records that can be decoded. */
-    fun hosts(): List<EntryHostInfo> =
-        entries.values.filter { it.key.startsWith(keys.hostPrefix) }.mapNotNull { entry ->
-            try {
-                json.decodeFromString<EntryHostInfo>(entry.value)
-            } catch (_: IllegalArgumentException) {
-                null // written by another version; that host is discovered from its reports
-            }
+    fun hosts(): List<EntryHostInfo> = hostRecords.values.toList()
+
+    private fun putHostRecord(entry: StoreEntry) {
+        try {
+            hostRecords[entry.key] = json.decodeFromString<EntryHostInfo>(entry.value)
+        } catch (_: IllegalArgumentException) {
+            hostRecords.remove(entry.key) // written by another version; that host is discovered from its reports
         }
+    }
 
     /** Returns the state that the entries describe. */
     fun state(): SteeringState =
@@ -184,6 +186,7 @@
         if (entry.key == keys.desiredKey) return putDesiredState(entry)
         entries[entry.key] = entry
         if (entry.key.startsWith(keys.workerPrefix)) workers[entry.key] = Decoded(entry.revision, decoder.worker(entry))
+        if (entry.key.startsWith(keys.hostPrefix)) putHostRecord(entry)
     }
 
     /** Applies a desired state. One that is unreadable or older never replaces a readable one, also not for peers that ask for it. */
@@ -249,6 +252,7 @@
         val isLost = eraOf(deletionRevision) > eraOf(known.revision)
         if (isLost && key == keys.desiredKey) return
         entries.remove(key)
+        hostRecords.remove(key)
         held.remove(key)
         deletionRevisions[key] = deletionRevision
         if (isLost && key.startsWith(keys.evacuationPrefix)) graceEndsAtMs[key] = nowMs + REWRITE_GRACE_MS
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/FleetExchange.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/FleetExchange.kt
@@ -62,10 +62,10 @@
 
     override fun demandPerS(nowMs: Long): Map<WorkspaceTag, Double> = rateLimiter.demandPerS(nowMs)
 
-    override fun demandFor(
-        peer: EntryHostInfo,
+    override fun demandByPeer(
+        peers: List<EntryHostInfo>,
         demandPerS: Map<WorkspaceTag, Double>,
-    ): Map<WorkspaceTag, Double> = rateLimiter.demandFor(peer, demandPerS)
+    ): Map<Map<WorkspaceTag, Double>, List<EntryHostInfo>> = rateLimiter.demandByPeer(peers, demandPerS)
 
     override fun sharesPerMille(): Map<WorkspaceTag, Int> = rateLimiter.sharesPerMille()
 
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/PeerExchange.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/PeerExchange.kt
@@ -51,11 +51,11 @@
     /** Returns this host's demand by workspace, in requests per second, to be reported to peers. */
     fun demandPerS(nowMs: Long): Map<WorkspaceTag, Double>
 
-    /** Returns the part of [demandPerS] that is reported to [peer]. */
-    fun demandFor(
-        peer: EntryHostInfo,
+    /** Returns the [peers] by the part of [demandPerS] that is reported to them. */
+    fun demandByPeer(
+        peers: List<EntryHostInfo>,
         demandPerS: Map<WorkspaceTag, Double>,
-    ): Map<WorkspaceTag, Double>
+    ): Map<Map<WorkspaceTag, Double>, List<EntryHostInfo>>
 
     /** Returns this host's shares of the workspaces' rate limits in thousandths, to be reported to peers. */
     fun sharesPerMille(): Map<WorkspaceTag, Int>
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/FleetSettings.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/FleetSettings.kt
@@ -7,6 +7,13 @@
     /** Time between two reports in a larger fleet, in which each host sends and receives more of them. */
     val largeFleetReportIntervalMs: Long = 1_000,
     val smallFleetMaxHosts: Int = 20,
+    /**
+     * Reports a second that a host receives at most. In a fleet of more hosts, the time between two reports grows with the fleet, up to
+     * [maxReportIntervalMs]: at 98 hosts, receiving and sending reports took three fifths of the processor time of an idle host.
+     */
+    val maxReportsPerS: Int = 50,
+    /** Longest time between two reports; a host that fails must be known to have failed within [maxLiveMs]. */
+    val maxReportIntervalMs: Long = 2_000,
     /**
      * Time for which a small fleet collects changes of the store, a tenth of the delay that operators allow; it grows with the fleet, as
      * each call of each host is charged for.
@@ -18,6 +25,8 @@
     val freshIntervals: Double = 2.5,
     /** A host that is silent for more than this many report intervals is no longer offered to callers. */
     val liveIntervals: Double = 5.0,
+    /** Longest silence after which a host is still offered to callers, whatever the report interval is. */
+    val maxLiveMs: Long = 5_000,
     /** A host in contact with at most half of the fleet for longer than this uses only its even share of each rate limit. */
     val isolatedAfterMs: Long = 8_000,
     /**
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/FleetView.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/FleetView.kt
@@ -1,6 +1,7 @@
 package io.kumquatmill.traffic.fleet
 
 import kotlin.math.max
+import kotlin.math.min
 
 /**
  * The hosts of the fleet as seen by this host.
@@ -24,6 +25,14 @@
         var reportedAtMs: Long? = null
     }
 
+    /** Liveness of the peers at one time; requests of the same millisecond share it until a record or report changes. */
+    private class CachedLiveness(
+        val atMs: Long,
+        val peers: List<PeerLiveness>,
+    ) {
+        val freshReports = peers.filterIsInstance<PeerLiveness.Fresh>().map { it.report }
+    }
+
     /** Name of this host. */
     val selfName: String
         get() = self.host
@@ -33,6 +42,7 @@
         get() = self.ip
 
     private val peers = LinkedHashMap<String, Peer>()
+    private var liveness: CachedLiveness? = null
     private var startedAtMs: Long? = null
 
     /** Applies the host records of the store. A host without a record is removed once it has been silent for long enough. */
@@ -41,6 +51,7 @@
         hosts: Collection<EntryHostInfo>,
     ) {
         startTimeMs(nowMs)
+        liveness = null
         hosts.filter { it.host != self.host }.forEach { record ->
             val peer = peers.getOrPut(record.host) { Peer(record, nowMs) }
             peer.record = record
@@ -67,6 +78,7 @@
             last != null &&
                 (report.incarnation < last.incarnation || (report.incarnation == last.incarnation && report.sequence <= last.sequence))
         if (isOutdated) return false
+        liveness = null
         peer.record = record
         peer.report = report
         peer.reportedAtMs = nowMs
@@ -100,7 +112,15 @@
     }
 
     /** Returns the liveness of each peer. */
-    fun peerLiveness(nowMs: Long): List<PeerLiveness> {
+    fun peerLiveness(nowMs: Long): List<PeerLiveness> = livenessAt(nowMs).peers
+
+    /** Returns the reports of the peers that are [PeerLiveness.Fresh]. */
+    fun freshReports(nowMs: Long): List<PeerReport> = livenessAt(nowMs).freshReports
+
+    private fun livenessAt(nowMs: Long): CachedLiveness =
+        liveness?.takeIf { it.atMs == nowMs } ?: CachedLiveness(nowMs, evaluateLiveness(nowMs)).also { liveness = it }
+
+    private fun evaluateLiveness(nowMs: Long): List<PeerLiveness> {
         val reports = peers.values.filter { isFresh(nowMs, it) }.mapNotNull { it.report }
         return peers.map { (name, peer) ->
             val report = peer.report
@@ -118,7 +138,14 @@
 
     /** Returns the time between two reports of this host in milliseconds. */
     fun reportIntervalMs(): Long =
-        if (size() <= settings.smallFleetMaxHosts) settings.reportIntervalMs else settings.largeFleetReportIntervalMs
+        if (size() <= settings.smallFleetMaxHosts) {
+            settings.reportIntervalMs
+        } else {
+            (MILLIS_PER_SECOND * size() / settings.maxReportsPerS).coerceIn(
+                settings.largeFleetReportIntervalMs,
+                settings.maxReportIntervalMs,
+            )
+        }
 
     /** Returns the time in milliseconds for which changes of the store are collected before they are applied. */
     fun changeBatchMs(): Long =
@@ -166,5 +193,12 @@
     private fun isLive(
         nowMs: Long,
         peer: Peer,
-    ): Boolean = peer.reportedAtMs?.let { nowMs - it <= reportIntervalMs() * settings.liveIntervals } ?: false
+    ): Boolean {
+        val liveMs = min(reportIntervalMs() * settings.liveIntervals, settings.maxLiveMs.toDouble())
+        return peer.reportedAtMs?.let { nowMs - it <= liveMs } ?: false
+    }
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000L
+    }
 }
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/WorkspaceRateLimiter.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/WorkspaceRateLimiter.kt
@@ -81,7 +81,7 @@
     fun rebalance(nowMs: Long) {
         val peers = fleet.peerLiveness(nowMs)
         val isIsolated = fleet.isIsolated(nowMs)
-        val reports = peers.filterIsInstance<PeerLiveness.Fresh>().map { it.report }
+        val reports = fleet.freshReports(nowMs)
         val servingHosts = reports.filter { it.isServing }.mapTo(HashSet()) { it.sender }
         if (!isLeaving || servingHosts.isEmpty()) servingHosts += fleet.self
         if (servingHosts != pools.hosts) pools = TokenPools(servingHosts, fleet.self)
@@ -185,11 +185,30 @@
     fun demandFor(
         peer: EntryHostInfo,
         demandPerS: Map<WorkspaceTag, Double>,
-    ): Map<WorkspaceTag, Double> =
-        demandPerS.filterKeys { tag ->
-            val limit = reportedLimits[tag]
-            limit != null && (!isPooled(limit) || pools.of(limit.workspace.id).any { it.host == peer.host })
+    ): Map<WorkspaceTag, Double> = demandByPeer(listOf(peer), demandPerS).keys.single()
+
+    /**
+     * Returns the [peers] by the part of [demandPerS] that is reported to them, see [demandFor]. All but the pool hosts get the same part,
+     * so that a report is encoded only a few times for a large fleet.
+     */
+    fun demandByPeer(
+        peers: List<EntryHostInfo>,
+        demandPerS: Map<WorkspaceTag, Double>,
+    ): Map<Map<WorkspaceTag, Double>, List<EntryHostInfo>> {
+        val limits = demandPerS.keys.mapNotNull { reportedLimits[it] }
+        val (pooled, divided) = limits.partition { isPooled(it) }
+        val forAll = divided.mapTo(HashSet()) { it.tag }
+        val tagsByPoolHost = HashMap<String, MutableSet<WorkspaceTag>>()
+        pooled.forEach { limit ->
+            pools.of(limit.workspace.id).forEach { tagsByPoolHost.getOrPut(it.host) { HashSet() } += limit.tag }
         }
+        return peers
+            .groupBy { tagsByPoolHost[it.host] }
+            .entries
+            .associate { (tags, group) ->
+                demandPerS.filterKeys { it in forAll || (tags != null && it in tags) } to group
+            }
+    }
 
     /** Returns this host's shares in thousandths, to be reported to peers; idle shares of workspaces without demand are left out. */
     fun sharesPerMille(): Map<WorkspaceTag, Int> {
@@ -230,7 +249,7 @@
         nowMs: Long,
         limit: WorkspaceLimit,
     ): Double {
-        val demandPerS = limit.demand.ratePerS(nowMs) + freshReports(nowMs).sumOf { it.demandPerS[limit.tag] ?: 0.0 }
+        val demandPerS = limit.demand.ratePerS(nowMs) + fleet.freshReports(nowMs).sumOf { it.demandPerS[limit.tag] ?: 0.0 }
         val known = demandPerS / limit.workspace.ratePerS
         val isHeardValid = isPooled(limit) && !limit.isPoolHost && nowMs - limit.heardLoadFactorAtMs <= settings.loanTtlMs
         return if (isHeardValid) max(known, limit.heardLoadFactor) else known
@@ -280,9 +299,6 @@
     private fun lendersOfPool(limit: WorkspaceLimit): List<EntryHostInfo> =
         pools.of(limit.workspace.id).filter { it.host != fleet.selfName }
 
-    private fun freshReports(nowMs: Long): List<PeerReport> =
-        fleet.peerLiveness(nowMs).filterIsInstance<PeerLiveness.Fresh>().map { it.report }
-
     /** Returns the tokens that cover the demand on [limit] for [RateLimitSettings.reserveMs], the time that a loan may take. */
     private fun reserve(
         nowMs: Long,
@@ -296,7 +312,8 @@
     ) {
         val needed = max(1.0, reserve(nowMs, limit))
         if (limit.bucket.level + limit.borrowed.available(nowMs) >= needed || !limit.borrowed.mayRequest(nowMs)) return
-        freshReports(nowMs)
+        fleet
+            .freshReports(nowMs)
             .filter { sparePerS(it, limit) > 0 }
             .sortedBy { limit.borrowed.lastRequestTo(it.host) }
             .take(settings.lenders)
@@ -376,6 +393,8 @@
         reports: List<PeerReport>,
     ): PoolDemand {
         val poolHosts = pools.of(limit.workspace.id)
+        // A host outside the pool has no share, whatever the demand is, and most hosts of a large fleet are outside most pools.
+        if (poolHosts.none { it.host == fleet.selfName }) return PoolDemand(ownPerS = null, peerPerS = emptyMap())
         val idlePerS = limit.workspace.ratePerS * settings.idleFraction / poolHosts.size
         val demandByRegion = HashMap<String, Double>()
         demandByRegion[fleet.self.region] = limit.share.reportedDemandPerS
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/fleet/FleetViewTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/fleet/FleetViewTest.kt
@@ -137,6 +137,27 @@
         assertEquals(500, fleet.reportIntervalMs())
         fleet.updateHosts(0, (2..30).map { host("h$it") })
         assertEquals(1_000, fleet.reportIntervalMs())
+        fleet.updateHosts(0, (2..98).map { host("h$it") })
+        assertEquals(1_960, fleet.reportIntervalMs(), "98 hosts: 50 reports a second arrive at each")
+        fleet.updateHosts(0, (2..450).map { host("h$it") })
+        assertEquals(2_000, fleet.reportIntervalMs())
+    }
+
+    @Test
+    fun `a host of a large fleet that fails is not offered for longer than one of a smaller fleet`() {
+        fleet.updateHosts(0, (2..98).map { host("h$it") })
+        fleet.onReport(0, report(host("h2")))
+        assertTrue(fleet.livePeers(5_000).isNotEmpty())
+        assertTrue(fleet.livePeers(5_001).isEmpty())
+    }
+
+    @Test
+    fun `the liveness of a peer is not that of a report before its latest one`() {
+        fleet.onReport(0, report(host("h2")))
+        assertEquals(1, fleet.freshReports(0).single().sequence)
+        fleet.onReport(0, report(host("h2"), sequence = 2))
+        assertEquals(2, fleet.freshReports(0).single().sequence)
+        assertTrue(fleet.freshReports(20_000).isEmpty())
     }
 
     @Test
