Read ahead pipelined GET and HEAD requests and send them to workers at once

Cause: Undertow reads the next request of a connection after the response to the one before, so four pipelined requests of 300 ms each end after about 1,200 ms.

Change: while an idempotent GET or HEAD request is in progress, the host reads on, recognises complete heads of further such requests, and starts them. The bytes go back to Undertow unchanged. When it has read such a request, the handler takes the one that was started at this position, compares the heads, and answers it. Bounds are decided by ReadAheadLimit. A caller that disconnects is noticed while bytes are buffered, and all its requests are cancelled. A host that stops answers what it has started.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerHandler.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerHandler.kt
@@ -10,6 +10,8 @@
 import io.undertow.server.HttpHandler
 import io.undertow.server.HttpServerExchange
 import io.undertow.server.RequestTooBigException
+import io.undertow.server.ServerConnection
+import io.undertow.util.AttachmentKey
 import io.undertow.util.Headers
 import io.undertow.util.SameThreadExecutor
 import kotlin.math.min
@@ -40,6 +42,7 @@
     private val activeRequests = LinkedHashSet<CallerRequest>()
     private val connections = CallerConnections(context.maxConnections) { context.metrics.countClosedIdleConnections(it) }
 
+    private val pipelines = PipelineContext(ReadAheadLimit(), context.metrics, context.log, { isDraining }, ::openAhead)
     private var drainSchedule: DrainSchedule? = null
 
     /** Whether this host is stopping and closes each connection after its response. */
@@ -57,6 +60,7 @@
 
     override fun handleRequest(exchange: HttpServerExchange) {
         connections.onRequest(exchange)
+        val pipeline = pipelineOf(exchange.connection)
         exchange.headFlaw?.let {
             exchange.isPersistent = false
             return reject(exchange, LocalResponse.malformedHead(it))
@@ -65,6 +69,10 @@
             exchange.isPersistent = false
             return reject(exchange, LocalResponse.ambiguousLength)
         }
+        pipeline.take(ReceivedHead.of(exchange))?.let { request ->
+            exchange.dispatch(SameThreadExecutor.INSTANCE, Runnable { request.attach(exchange) })
+            return
+        }
         val maxBodyBytes = min(controller.maxBodyBytes, MAX_BUFFERED_BODY_BYTES)
         if (controller.version != null && exchange.requestContentLength > maxBodyBytes) {
             exchange.isPersistent = false
@@ -85,22 +93,19 @@
         exchange: HttpServerExchange,
         body: ByteArray,
     ) {
-        val idValues: Collection<String> = exchange.requestHeaders.get(context.headerNames.requestId) ?: emptyList()
-        val ids = idValues.filter { it.isNotBlank() }.distinct()
+        val head = ReceivedHead.of(exchange)
+        val ids = head.distinctValues(context.headerNames.requestId)
         if (ids.size > 1) return reject(exchange, LocalResponse.ambiguousRequestId)
         val id = ids.firstOrNull() ?: return reject(exchange, LocalResponse.missingRequestId)
-        val host = exchange.requestHeaders.getFirst(Headers.HOST).orEmpty()
-        when (val resolved = controller.resolve(host, exchange.rawPath, exchange.bearerKey)) {
+        when (val resolved = controller.resolve(head.host, head.path, head.bearerKey)) {
             is RouteResolution.NotReady -> reject(exchange, LocalResponse.hostStarting)
             is RouteResolution.UnknownRoute -> reject(exchange, LocalResponse.unknownRoute)
             is RouteResolution.UnknownKey -> reject(exchange, LocalResponse.unknownKey)
             is RouteResolution.Resolved ->
-                if (canFinishBeforeExit(
-                        exchange,
-                        resolved,
-                    )
-                ) {
-                    serve(exchange, id, body, resolved)
+                if (canFinishBeforeExit(head, resolved)) {
+                    val request = open(pipelineOf(exchange.connection), head, id, body, resolved)
+                    // The response is sent from this thread, now or later. Dispatching keeps the exchange open until then.
+                    exchange.dispatch(SameThreadExecutor.INSTANCE, Runnable { request.start(exchange) })
                 } else {
                     reject(exchange, LocalResponse.hostStopping)
                 }
@@ -109,34 +114,46 @@
 
     /** Returns whether the request is certain to end before this host exits. */
     private fun canFinishBeforeExit(
-        exchange: HttpServerExchange,
+        head: ReceivedHead,
         resolved: RouteResolution.Resolved,
     ): Boolean {
         val schedule = drainSchedule ?: return true
         val nowMs = context.clock.nowMs()
-        val deadlineMs = exchange.requestHeaders.getFirst(context.headerNames.deadline)?.toLongOrNull() ?: Long.MAX_VALUE
+        val deadlineMs = head.headers.getFirst(context.headerNames.deadline)?.toLongOrNull() ?: Long.MAX_VALUE
         val timeLimitMs = min(resolved.route.timeoutMs ?: Long.MAX_VALUE, deadlineMs)
         return schedule.accepts(nowMs, timeLimitMs)
     }
 
-    private fun serve(
-        exchange: HttpServerExchange,
+    /** Returns the request with [head], which was read before its turn, or null if it can't be served early. */
+    private fun openAhead(
+        pipeline: CallerPipeline,
+        head: ReceivedHead,
+    ): CallerRequest? {
+        val id = head.distinctValues(context.headerNames.requestId).singleOrNull() ?: return null
+        val resolved = controller.resolve(head.host, head.path, head.bearerKey) as? RouteResolution.Resolved
+        return if (resolved?.route?.isIdempotent == true) open(pipeline, head, id, NO_BODY, resolved) else null
+    }
+
+    private fun open(
+        pipeline: CallerPipeline,
+        head: ReceivedHead,
         id: String,
         body: ByteArray,
         resolved: RouteResolution.Resolved,
-    ) {
-        val request = CallerRequest(context, exchange, id, body, resolved, isDraining = { isDraining }) { activeRequests.remove(it) }
-        activeRequests.add(request)
-        // The response is sent from this thread, now or later. Dispatching keeps the exchange open until then.
-        exchange.dispatch(SameThreadExecutor.INSTANCE, Runnable { request.start() })
-    }
+    ) = CallerRequest(context, pipeline, head, id, body, resolved) { activeRequests.remove(it) }.also { activeRequests.add(it) }
+
+    private fun pipelineOf(connection: ServerConnection): CallerPipeline =
+        connection.getAttachment(pipelineKey) ?: CallerPipeline(connection, pipelines).also { pipeline ->
+            connection.putAttachment(pipelineKey, pipeline)
+            connection.addCloseListener { pipeline.onClosed() }
+        }
 
     private fun reject(
         exchange: HttpServerExchange,
         response: LocalResponse,
     ) {
         val id = exchange.requestHeaders.getFirst(context.headerNames.requestId)
-        if (isDraining) exchange.isPersistent = false
+        pipelineOf(exchange.connection).beforeResponse(exchange)
         exchange.send(response, id)
         context.metrics.countRequest(NO_ROUTE, response.reason)
         context.log.requestRejected(id, exchange.requestHeaders.getFirst(Headers.HOST), exchange.rawPath, response, controller.version)
@@ -146,5 +163,7 @@
         /** Bodies are buffered whole, so that a request can be retried at another worker; larger ones are rejected. */
         const val MAX_BUFFERED_BODY_BYTES = 4L * 1024 * 1024
         const val NO_ROUTE = "none"
+        val NO_BODY = ByteArray(0)
+        val pipelineKey: AttachmentKey<CallerPipeline> = AttachmentKey.create(CallerPipeline::class.java)
     }
 }
--- /dev/null
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerPipeline.kt
@@ -0,0 +1,162 @@
+package io.kumquatmill.gateway.caller
+
+import io.kumquatmill.gateway.log.RequestLog
+import io.kumquatmill.gateway.metrics.GatewayMetrics
+import io.kumquatmill.gateway.metrics.ReadAheadEvent
+import io.undertow.server.HttpServerExchange
+import io.undertow.server.ServerConnection
+import org.xnio.XnioExecutor
+
+/**
+ * What the pipelines of all connections of a host share.
+ *
+ * @param open returns the request with a head that was read ahead, or null if it must be left to the ordinary path
+ */
+internal class PipelineContext(
+    val limit: ReadAheadLimit,
+    val metrics: GatewayMetrics,
+    val log: RequestLog,
+    val isDraining: () -> Boolean,
+    val open: (pipeline: CallerPipeline, head: ReceivedHead) -> CallerRequest?,
+)
+
+/**
+ * Requests of one caller's connection, in order: the one in progress, and those behind it that were read ahead and started.
+ *
+ * The server reads the bytes of a request that was started again when its turn comes; [take] then returns the request that was started at
+ * this position, provided that the server has read the same head. Must be used on the connection's I/O thread only.
+ */
+internal class CallerPipeline(
+    connection: ServerConnection,
+    private val context: PipelineContext,
+) {
+    /** Thread of the connection, which runs timers. */
+    val loop: XnioExecutor = connection.ioThread
+    private val limit = context.limit
+    private val reader = PipelineReader(connection, limit, onBytes = { startRequests() }, onEndOfStream = { onDisconnected() })
+    private val started = ArrayDeque<StartedRequest>()
+    private var current: CallerRequest? = null
+
+    /** Size in bytes of the heads of the [started] requests, which are the first bytes that [reader] gets. */
+    private var startedHeadBytes = 0
+    private var heldBytes = 0
+    private var mayStart = false
+
+    private class StartedRequest(
+        val request: CallerRequest,
+        val headBytes: Int,
+    ) {
+        var heldBytes = 0
+        var isDiscarded = false
+    }
+
+    /** Reads on while [request] is in progress, in order to detect that the caller disconnects, and to start requests behind it. */
+    fun watch(
+        request: CallerRequest,
+        exchange: HttpServerExchange,
+    ) {
+        current = request
+        mayStart = request.allowsOthersBehind && exchange.isPersistent
+        reader.start()
+        startRequests()
+    }
+
+    /** Ends reading, and cancels the requests behind [exchange] if its response is the last one. Must be called before it is sent. */
+    fun beforeResponse(exchange: HttpServerExchange) {
+        current = null
+        reader.stop()
+        // Requests that were sent to a worker are answered before the connection is closed.
+        if (context.isDraining() && started.isEmpty()) exchange.isPersistent = false
+        if (!exchange.isPersistent) cancelStarted(CONNECTION_CLOSED)
+    }
+
+    /** Returns the request that was started for [head], which the server has read as the next one, or null to serve it as any other. */
+    fun take(head: ReceivedHead): CallerRequest? {
+        val next = started.removeFirstOrNull() ?: return null
+        startedHeadBytes -= next.headBytes
+        releaseHeld(next)
+        if (next.isDiscarded) return null
+        if (next.request.head.isSameAs(head)) {
+            context.metrics.countReadAhead(ReadAheadEvent.TAKEN)
+            return next.request
+        }
+        context.metrics.countReadAhead(ReadAheadEvent.MISMATCHED)
+        context.log.readAheadMismatched(next.request.id, head.method, head.path)
+        next.request.cancel(MISMATCHED)
+        cancelStarted(MISMATCHED)
+        return null
+    }
+
+    /**
+     * Holds [bytes] of the response to [request] until its turn comes. Returns false if there is no room for them: the request, which may
+     * be repeated, then runs again in its turn.
+     */
+    fun hold(
+        request: CallerRequest,
+        bytes: Int,
+    ): Boolean {
+        val entry = started.firstOrNull { it.request === request } ?: return false
+        if (limit.tryHoldResponse(heldBytes, bytes)) {
+            entry.heldBytes = bytes
+            heldBytes += bytes
+            return true
+        }
+        entry.isDiscarded = true
+        context.metrics.countReadAhead(ReadAheadEvent.DISCARDED)
+        return false
+    }
+
+    /** Cancels all requests behind the one in progress, because the connection was closed. */
+    fun onClosed() {
+        reader.stop()
+        cancelStarted(CALLER_LEFT)
+    }
+
+    private fun onDisconnected() {
+        val request = current
+        current = null
+        cancelStarted(CALLER_LEFT)
+        request?.onCallerDisconnected()
+    }
+
+    private fun startRequests() {
+        if (reader.size < startedHeadBytes) return
+        while (mayStart && !context.isDraining() && limit.mayStart(started.size, heldBytes)) {
+            val parsed = PipelinedHeadParser.parse(reader.bytes, startedHeadBytes, reader.size)
+            if (parsed == PipelinedHead.Partial) return
+            val request = (parsed as? PipelinedHead.Complete)?.let { context.open(this, it.head) }
+            if (parsed !is PipelinedHead.Complete || request == null) {
+                mayStart = false
+                return
+            }
+            started.addLast(StartedRequest(request, parsed.sizeBytes))
+            startedHeadBytes += parsed.sizeBytes
+            context.metrics.countReadAhead(ReadAheadEvent.STARTED)
+            context.log.readAhead(request.id, current?.id, started.size, parsed.sizeBytes)
+            request.startAhead()
+        }
+    }
+
+    private fun cancelStarted(outcome: String) {
+        startedHeadBytes = 0
+        while (true) {
+            val entry = started.removeFirstOrNull() ?: return
+            releaseHeld(entry)
+            if (entry.isDiscarded) continue
+            context.metrics.countReadAhead(ReadAheadEvent.CANCELLED)
+            entry.request.cancel(outcome)
+        }
+    }
+
+    private fun releaseHeld(entry: StartedRequest) {
+        limit.release(entry.heldBytes)
+        heldBytes -= entry.heldBytes
+        entry.heldBytes = 0
+    }
+
+    private companion object {
+        const val CALLER_LEFT = "caller-left"
+        const val CONNECTION_CLOSED = "connection-closed"
+        const val MISMATCHED = "read-ahead-mismatched"
+    }
+}
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
@@ -27,27 +27,26 @@
 /**
  * Serves one request of a caller, from its arrival to its response. Must be used on the event loop only.
  *
- * @param onFinished called once, when the request has its final outcome
+ * A request that was read ahead has no exchange until its turn comes; its response is held until then.
+ *
+ * @param onFinished called once, when the request has its final outcome and its response can be sent
  */
 internal class CallerRequest(
     private val context: CallerContext,
-    private val exchange: HttpServerExchange,
-    private val id: String,
+    private val pipeline: CallerPipeline,
+    val head: ReceivedHead,
+    val id: String,
     private val body: ByteArray,
     private val resolved: RouteResolution.Resolved,
-    private val isDraining: () -> Boolean,
     private val onFinished: (CallerRequest) -> Unit,
 ) {
     private val headerNames = context.headerNames
     private val controller = context.controller
     private val clock = context.clock
+    private val loop = pipeline.loop
     private val arrivedAtMs = clock.nowMs()
-    private val disconnectWatch = DisconnectWatch(exchange) { onCallerDisconnected() }
-    private val target = exchange.rawTarget
-    private val method = exchange.requestMethod.toString()
-    private val headers = endToEndHeaders(exchange.requestHeaders, reservedHeaders(headerNames))
-    private val fingerprint =
-        RequestFingerprint.of(method, exchange.requestHeaders.getFirst(Headers.HOST).orEmpty(), target, resolved.workspace?.id, body)
+    private val headers = endToEndHeaders(head.headers, reservedHeaders(headerNames))
+    private val fingerprint = RequestFingerprint.of(head.method, head.host, head.target, resolved.workspace?.id, body)
     private val identity = RequestIdentity(id, fingerprint)
     private var trafficRequest: TrafficRequest? = null
     private var call: OngoingCall? = null
@@ -59,23 +58,60 @@
     private var isCallerDisconnected = false
     private var isFinished = false
 
-    fun start() = guarded { begin() }
+    /** Exchange of the server on which the response is sent, or null while the request waits for its turn. */
+    private var exchange: HttpServerExchange? = null
+    private var heldResponse: HeldResponse? = null
+
+    /** Whether requests behind this one on the connection may run at the same time. */
+    val allowsOthersBehind: Boolean
+        get() = head.isGetOrHead && resolved.route.isIdempotent
+
+    /** Serves the request, whose turn it is, on [exchange]. */
+    fun start(exchange: HttpServerExchange) {
+        this.exchange = exchange
+        guarded { begin() }
+    }
+
+    /** Starts the request before its turn; [attach] must follow unless it is cancelled. */
+    fun startAhead() = guarded { begin() }
+
+    /** Answers the request, whose turn has come, on [exchange]. */
+    fun attach(exchange: HttpServerExchange) {
+        this.exchange = exchange
+        val response = heldResponse
+        heldResponse = null
+        if (response == null) pipeline.watch(this, exchange) else complete(response)
+    }
+
+    /** Ends a request that was started before its turn and will not be answered, with [outcome] in the logs. */
+    fun cancel(outcome: String) {
+        if (isCallerDisconnected) return
+        isCallerDisconnected = true
+        heldResponse = null
+        if (!isFinished) {
+            trafficRequest?.let { controller.abandon(clock.nowMs(), it, isWorkerSlow = false) }
+            call?.cancel()
+            endWork()
+        }
+        complete(HeldResponse(CLIENT_CLOSED_REQUEST, outcome) { })
+    }
 
     private fun begin() {
         val deadlineMs =
-            exchange.requestHeaders
+            head.headers
                 .getFirst(headerNames.deadline)
                 ?.toLongOrNull()
                 ?.takeIf { it > 0 }
-        val affinityKey = exchange.requestHeaders.getFirst(headerNames.affinityKey)
+        val affinityKey = head.headers.getFirst(headerNames.affinityKey)
         val (admittedRequest, action) = controller.begin(arrivedAtMs, resolved, affinityKey, id, deadlineMs, fingerprint)
         trafficRequest = admittedRequest
         if (admittedRequest != null) {
             val timeLimitMs = maxOf(1, admittedRequest.deadlineAtMs - arrivedAtMs)
-            deadlineTimer = exchange.ioThread.executeAfter({ guarded { onDeadline() } }, timeLimitMs, TimeUnit.MILLISECONDS)
-            if (action is RequestAction.Send || action is RequestAction.Wait) disconnectWatch.start()
+            deadlineTimer = loop.executeAfter({ guarded { onDeadline() } }, timeLimitMs, TimeUnit.MILLISECONDS)
         }
         perform(action)
+        // Requests behind this one are started after it, so that a worker gets them in the caller's order.
+        if (!isFinished) exchange?.let { pipeline.watch(this, it) }
     }
 
     private fun perform(action: RequestAction) {
@@ -102,7 +138,7 @@
         afterMs: Long,
     ) {
         private val onGrant: () -> Unit = { guarded { end() } }
-        private val timer = exchange.ioThread.executeAfter(onGrant, afterMs, TimeUnit.MILLISECONDS)
+        private val timer = loop.executeAfter(onGrant, afterMs, TimeUnit.MILLISECONDS)
 
         init {
             resolved.workspace?.let { context.loanWaiters.add(it.id, onGrant) }
@@ -151,8 +187,8 @@
         val httpCall =
             HttpCall(
                 address = if (relay == null) entry.address else HostAddress(relay.ip, context.peerPort),
-                method = method,
-                target = target,
+                method = head.method,
+                target = head.target,
                 headers = headers + hostHeaders + relayHeaders,
                 body = body,
                 maxConnectionIdleMs = action.maxConnectionIdleMs,
@@ -223,7 +259,8 @@
 
     private fun forwardResponse() {
         val response = checkNotNull(workerResponse) { "request $id has no worker response to forward" }
-        finish(response.status, "answered") {
+        workerResponse = null
+        finish(response.status, "answered", response.body.size) { exchange ->
             exchange.statusCode = response.status
             endToEndHeaders(response.headers, emptySet()).forEach { (name, value) ->
                 exchange.responseHeaders.add(HttpString(name), value)
@@ -232,23 +269,35 @@
         }
     }
 
-    private fun respondLocally(response: LocalResponse) = finish(response.status, response.reason) { exchange.send(response, id) }
+    private fun respondLocally(response: LocalResponse) = finish(response.status, response.reason) { it.send(response, id) }
 
     private fun finish(
         status: Int,
         outcome: String,
-        respond: () -> Unit,
+        bodyBytes: Int = 0,
+        respond: (HttpServerExchange) -> Unit,
     ) {
         if (isFinished) return
-        release()
+        endWork()
+        val response = HeldResponse(status, outcome, respond)
+        when {
+            exchange != null || isCallerDisconnected -> complete(response)
+            pipeline.hold(this, bodyBytes + HELD_HEAD_BYTES) -> heldResponse = response
+            else -> complete(HeldResponse(status, DISCARDED) { })
+        }
+    }
+
+    /** Sends [response], which is the final one, unless nobody waits for it. */
+    private fun complete(response: HeldResponse) {
+        onFinished(this)
         val durationMs = clock.nowMs() - arrivedAtMs
-        context.log.requestFinished(identity, resolved, trafficRequest, status, outcome, durationMs, controller.version)
-        context.metrics.countRequest(resolved.route.id.value, outcome)
-        context.metrics.recordDuration(outcome, durationMs)
-        if (isCallerDisconnected) return
-        disconnectWatch.stop()
-        if (isDraining()) exchange.isPersistent = false
-        if (!exchange.isComplete) respond()
+        context.log.requestFinished(identity, resolved, trafficRequest, response.status, response.outcome, durationMs, controller.version)
+        context.metrics.countRequest(resolved.route.id.value, response.outcome)
+        context.metrics.recordDuration(response.outcome, durationMs)
+        val open = exchange
+        if (isCallerDisconnected || open == null) return
+        pipeline.beforeResponse(open)
+        if (!open.isComplete) response.respond(open)
     }
 
     /** Ends the request when the caller's deadline or the route's timeout has passed. */
@@ -260,15 +309,15 @@
     }
 
     /** Cancels an idempotent request when the caller closes its connection; any other request runs to its end. */
-    private fun onCallerDisconnected() {
+    fun onCallerDisconnected() {
         isCallerDisconnected = true
-        exchange.isPersistent = false
+        exchange?.isPersistent = false
         if (resolved.route.isIdempotent) {
             trafficRequest?.let { controller.abandon(clock.nowMs(), it, isWorkerSlow = false) }
             call?.cancel()
             finish(CLIENT_CLOSED_REQUEST, "caller-left") { }
         }
-        exchange.closeConnection()
+        exchange?.closeConnection()
     }
 
     /** Runs [step] of this request. An unexpected error ends this request alone, with a response that does not say whether it has run. */
@@ -284,19 +333,32 @@
         }
     }
 
-    private fun release() {
+    /** Ends the timers and waits of the request; it is answered later if its turn has not come. */
+    private fun endWork() {
         isFinished = true
         deadlineTimer?.remove()
         loanWait?.cancel()
-        onFinished(this)
     }
 
+    /** A response that is complete; [respond] sends it. */
+    private class HeldResponse(
+        val status: Int,
+        val outcome: String,
+        val respond: (HttpServerExchange) -> Unit,
+    )
+
     private companion object {
         /** A worker accepts a connection within a few milliseconds, in another region within a few tens of milliseconds. */
         const val CONNECT_TIMEOUT_MS = 400L
 
         /** Status logged when the caller has closed its connection, so that no response is sent. */
         const val CLIENT_CLOSED_REQUEST = 499
+
+        /** Outcome of a request whose response was not held for lack of room; the request runs again in its turn. */
+        const val DISCARDED = "read-ahead-discarded"
+
+        /** Memory that is counted for the head of a response that waits for its turn. */
+        const val HELD_HEAD_BYTES = 1_024
     }
 }
 
--- /dev/null
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/ReadAheadLimit.kt
@@ -0,0 +1,70 @@
+package io.kumquatmill.gateway.caller
+
+import kotlin.math.max
+import kotlin.math.min
+
+/**
+ * Decides how much may be read ahead of the request in progress on a connection. Does no I/O; must be used by one thread only.
+ *
+ * @param maxRequests maximum number of requests ahead on one connection
+ * @param maxHeadBytes maximum number of bytes of heads that are read ahead on one connection
+ * @param maxHeldBytes maximum number of bytes of responses that wait for their turn on one connection
+ * @param maxHostBytes maximum number of bytes of heads and responses on all connections together
+ */
+internal class ReadAheadLimit(
+    private val maxRequests: Int = MAX_REQUESTS,
+    private val maxHeadBytes: Int = MAX_HEAD_BYTES,
+    private val maxHeldBytes: Int = MAX_HELD_BYTES,
+    private val maxHostBytes: Long = (Runtime.getRuntime().maxMemory() * HEAP_FRACTION).toLong(),
+) {
+    /** Number of bytes of heads and responses that all connections hold. */
+    var hostBytes = 0L
+        private set
+
+    /** Returns whether another request may be started on a connection that has [requests] ahead and holds [heldBytes] of responses. */
+    fun mayStart(
+        requests: Int,
+        heldBytes: Int,
+    ): Boolean = requests < maxRequests && heldBytes < maxHeldBytes && hostBytes < maxHostBytes
+
+    /**
+     * Returns how many bytes may be read on a connection that has [bufferedBytes] already.
+     *
+     * A first read is always possible, because it is also what detects that the caller disconnects.
+     */
+    fun readableBytes(bufferedBytes: Int): Int {
+        val hostRoom = min(max(0, maxHostBytes - hostBytes), maxHeadBytes.toLong()).toInt()
+        val room = min(maxHeadBytes - bufferedBytes, hostRoom)
+        return if (bufferedBytes == 0) max(room, min(FIRST_READ_BYTES, maxHeadBytes)) else max(0, room)
+    }
+
+    /** Counts [bytes] of heads that were read. */
+    fun holdHeads(bytes: Int) {
+        hostBytes += bytes
+    }
+
+    /** Counts [bytes] of a response on a connection that holds [heldBytes] of others; returns false if there is no room for it. */
+    fun tryHoldResponse(
+        heldBytes: Int,
+        bytes: Int,
+    ): Boolean {
+        val hasRoom = heldBytes.toLong() + bytes <= maxHeldBytes && hostBytes + bytes <= maxHostBytes
+        if (hasRoom) hostBytes += bytes
+        return hasRoom
+    }
+
+    /** Ends the counting of [bytes] that are not held any more. */
+    fun release(bytes: Int) {
+        hostBytes -= bytes
+    }
+
+    private companion object {
+        const val MAX_REQUESTS = 4
+        const val MAX_HEAD_BYTES = 16 * 1024
+        const val MAX_HELD_BYTES = 1024 * 1024
+        const val FIRST_READ_BYTES = 512
+
+        /** Incomplete responses may take 0.35 of the heap (`ResponseBuffers`), request bodies and the state of the fleet need the rest. */
+        const val HEAP_FRACTION = 0.1
+    }
+}
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/RequestHead.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/RequestHead.kt
@@ -5,8 +5,6 @@
 import io.undertow.util.HeaderMap
 import io.undertow.util.Headers
 
-private const val BEARER_PREFIX = "Bearer "
-
 /** Headers that apply to a single connection and are not forwarded, in lower case. */
 val hopByHopHeaders: Set<String> =
     setOf(
@@ -35,13 +33,6 @@
             else -> "/" + requestURI.substringAfter("://").substringAfter('/', "")
         }
 
-/** Key of the caller from its bearer token, or null if there is none. */
-internal val HttpServerExchange.bearerKey: String?
-    get() {
-        val value = requestHeaders.getFirst(Headers.AUTHORIZATION) ?: return null
-        return if (value.startsWith(BEARER_PREFIX, ignoreCase = true)) value.substring(BEARER_PREFIX.length).trim() else null
-    }
-
 /** Whether two HTTP parsers could disagree on where the request ends, which would allow request smuggling. */
 internal val HttpServerExchange.hasAmbiguousLength: Boolean
     get() {
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/RequestLog.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/RequestLog.kt
@@ -59,6 +59,35 @@
         .addKeyValue("version", version)
         .log("sent")
 
+    /**
+     * Logs that the request [id], whose head has [headBytes], is started while [current] is in progress on its connection, as number
+     * [position] of those behind it.
+     */
+    fun readAhead(
+        id: String,
+        current: String?,
+        position: Int,
+        headBytes: Int,
+    ) = logger
+        .atInfo()
+        .addKeyValue("request", id)
+        .addKeyValue("behind", current)
+        .addKeyValue("position", position)
+        .addKeyValue("headBytes", headBytes)
+        .log("read ahead")
+
+    /** Logs that the request [id] was started, but that the server has read a request with [method] and [path] at its position. */
+    fun readAheadMismatched(
+        id: String,
+        method: String,
+        path: String,
+    ) = logger
+        .atWarn()
+        .addKeyValue("request", id)
+        .addKeyValue("method", method)
+        .addKeyValue("path", path)
+        .log("another request found in place of the one read ahead")
+
     /** Logs what became of the request [id] of the peer at [peerIp], which this host passed on to [worker] or refused to pass on. */
     fun passedOn(
         id: String?,
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
@@ -24,6 +24,8 @@
     private val attempts = HashMap<String, Counter>()
     private val connectionCounters =
         ConnectionNeed.entries.associateWith { registry.counter("kumquatmill.connections.needed", "reason", it.wireName) }
+    private val readAheadCounters =
+        ReadAheadEvent.entries.associateWith { registry.counter("kumquatmill.read.ahead", "event", it.wireName) }
     private val limitedWorkers = AtomicInteger().also { registry.gauge("kumquatmill.worker.limits", it) }
     private val quarantinedRequests = AtomicInteger().also { registry.gauge("kumquatmill.requests.quarantined", it) }
     private val cutOff = AtomicInteger().also { registry.gauge("kumquatmill.cut.off", it) }
@@ -117,6 +119,9 @@
     /** Sets the time since the store last answered the watch of this host. */
     fun setStoreAnswerAge(ageMs: Long) = storeAnswerAgeMs.set(ageMs)
 
+    /** Counts an [event] in the life of a request that is read ahead on a caller's connection. */
+    fun countReadAhead(event: ReadAheadEvent) = readAheadCounters.getValue(event).increment()
+
     /** Counts idle caller connections that were closed because too many connections were open. */
     fun countClosedIdleConnections(closed: Int) = registry.counter("kumquatmill.callers.closed.idle").increment(closed.toDouble())
 
