Expect responses ahead to be as large as earlier ones; read all before starting

Cause: a connection with large responses could start more requests than fit into its 1 MB, whose responses were then discarded and run again; and the requests of a caller that had already left were started before the end of the stream was read.

Change: ReadAheadLimit counts an expected size for responses that have not arrived, and PipelineReader reads until nothing is left before requests are started.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerPipeline.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerPipeline.kt
@@ -6,6 +6,7 @@
 import io.undertow.server.HttpServerExchange
 import io.undertow.server.ServerConnection
 import org.xnio.XnioExecutor
+import kotlin.math.max
 
 /**
  * What the pipelines of all connections of a host share.
@@ -40,6 +41,7 @@
     /** Size in bytes of the heads of the [started] requests, which are the first bytes that [reader] gets. */
     private var startedHeadBytes = 0
     private var heldBytes = 0
+    private var largestResponseBytes = 0
     private var mayStart = false
 
     private class StartedRequest(
@@ -48,6 +50,9 @@
     ) {
         var heldBytes = 0
         var isDiscarded = false
+
+        val isUnanswered: Boolean
+            get() = heldBytes == 0 && !isDiscarded
     }
 
     /** Reads on while [request] is in progress, in order to detect that the caller disconnects, and to start requests behind it. */
@@ -106,6 +111,11 @@
         return false
     }
 
+    /** Notes that the body of a response on this connection has [bytes]; further ones are expected to be as large. */
+    fun onResponse(bytes: Int) {
+        largestResponseBytes = max(largestResponseBytes, bytes)
+    }
+
     /** Cancels all requests behind the one in progress, because the connection was closed. */
     fun onClosed() {
         reader.stop()
@@ -121,7 +131,7 @@
 
     private fun startRequests() {
         if (reader.size < startedHeadBytes) return
-        while (mayStart && !context.isDraining() && limit.mayStart(started.size, heldBytes)) {
+        while (mayStart && !context.isDraining() && hasRoom()) {
             val parsed = PipelinedHeadParser.parse(reader.bytes, startedHeadBytes, reader.size)
             if (parsed == PipelinedHead.Partial) return
             val request = (parsed as? PipelinedHead.Complete)?.let { context.open(this, it.head) }
@@ -137,6 +147,8 @@
         }
     }
 
+    private fun hasRoom() = limit.mayStart(started.size, started.count { it.isUnanswered }, heldBytes, largestResponseBytes)
+
     private fun cancelStarted(outcome: String) {
         startedHeadBytes = 0
         while (true) {
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
@@ -279,6 +279,7 @@
     ) {
         if (isFinished) return
         endWork()
+        pipeline.onResponse(bodyBytes)
         val response = HeldResponse(status, outcome, respond)
         when {
             exchange != null || isCallerDisconnected -> complete(response)
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/PipelineReader.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/PipelineReader.kt
@@ -86,26 +86,31 @@
         if (limit.readableBytes(size) > 0) conduit.resumeReads() else conduit.suspendReads()
     }
 
+    /** Reads all that has arrived, so that requests of a caller that has already left are not started. */
     private fun read() {
         val serverConnection = connection ?: return
         if (!isReading) return
-        val count =
-            serverConnection.byteBufferPool.allocate().use { pooled ->
-                val buffer = pooled.buffer
-                buffer.limit(minOf(buffer.limit(), limit.readableBytes(size)))
-                // A buffer without room reads nothing, which is no end of the stream.
-                val read = if (buffer.hasRemaining()) tryRead(serverConnection, buffer) else 0
-                buffer.flip()
-                if (read > 0) append(buffer)
-                read
-            }
-        when {
-            count > 0 -> onBytes()
-            count < 0 -> return endOfStream()
-        }
+        val sizeBefore = size
+        var count: Int
+        do {
+            count = readOnce(serverConnection)
+        } while (count > 0)
+        if (count < 0) return endOfStream()
+        if (size > sizeBefore) onBytes()
         if (isReading) resume()
     }
 
+    private fun readOnce(serverConnection: AbstractServerConnection): Int =
+        serverConnection.byteBufferPool.allocate().use { pooled ->
+            val buffer = pooled.buffer
+            buffer.limit(minOf(buffer.limit(), limit.readableBytes(size)))
+            // A buffer without room reads nothing, which is no end of the stream.
+            val count = if (buffer.hasRemaining()) tryRead(serverConnection, buffer) else 0
+            buffer.flip()
+            if (count > 0) append(buffer)
+            count
+        }
+
     private fun tryRead(
         serverConnection: AbstractServerConnection,
         buffer: ByteBuffer,
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/ReadAheadLimit.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/ReadAheadLimit.kt
@@ -21,11 +21,20 @@
     var hostBytes = 0L
         private set
 
-    /** Returns whether another request may be started on a connection that has [requests] ahead and holds [heldBytes] of responses. */
+    /**
+     * Returns whether another request may be started on a connection that has [requests] ahead, of which [unanswered] have no response
+     * yet, and holds [heldBytes] of responses. Responses to come are assumed to be as large as [largestBytes], the largest one so far.
+     */
     fun mayStart(
         requests: Int,
+        unanswered: Int,
         heldBytes: Int,
-    ): Boolean = requests < maxRequests && heldBytes < maxHeldBytes && hostBytes < maxHostBytes
+        largestBytes: Int,
+    ): Boolean {
+        val expectedBytes = (unanswered + 1L) * largestBytes
+        val fits = heldBytes + expectedBytes <= maxHeldBytes && hostBytes + expectedBytes <= maxHostBytes
+        return requests < maxRequests && fits && hostBytes < maxHostBytes
+    }
 
     /**
      * Returns how many bytes may be read on a connection that has [bufferedBytes] already.
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/caller/ReadAheadLimitTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/caller/ReadAheadLimitTest.kt
@@ -11,9 +11,9 @@
 
     @Test
     fun `requests, heads and responses of a connection are bounded`() {
-        assertTrue(limit.mayStart(requests = 3, heldBytes = 4_999))
-        assertFalse(limit.mayStart(requests = 4, heldBytes = 0))
-        assertFalse(limit.mayStart(requests = 0, heldBytes = 5_000))
+        assertTrue(limit.mayStart(requests = 3, unanswered = 3, heldBytes = 1_000, largestBytes = 1_000))
+        assertFalse(limit.mayStart(requests = 3, unanswered = 3, heldBytes = 1_001, largestBytes = 1_000))
+        assertFalse(limit.mayStart(requests = 4, unanswered = 0, heldBytes = 0, largestBytes = 0))
         assertEquals(listOf(1_000, 400, 0, 0), listOf(0, 600, 1_000, 1_200).map { limit.readableBytes(it) })
         assertFalse(limit.tryHoldResponse(heldBytes = 4_000, bytes = 1_001))
         assertTrue(limit.tryHoldResponse(heldBytes = 4_000, bytes = 1_000))
@@ -26,11 +26,11 @@
         assertFalse(limit.tryHoldResponse(heldBytes = 0, bytes = 301))
         assertEquals(300, limit.readableBytes(bufferedBytes = 100))
         assertTrue(limit.tryHoldResponse(heldBytes = 0, bytes = 300))
-        assertFalse(limit.mayStart(requests = 0, heldBytes = 0))
+        assertFalse(limit.mayStart(requests = 0, unanswered = 0, heldBytes = 0, largestBytes = 0))
         assertEquals(0, limit.readableBytes(bufferedBytes = 100))
         assertEquals(512, limit.readableBytes(bufferedBytes = 0), "a disconnect is detected also without room")
         limit.release(7_000)
         assertEquals(0, limit.hostBytes)
-        assertTrue(limit.mayStart(requests = 0, heldBytes = 0))
+        assertTrue(limit.mayStart(requests = 0, unanswered = 0, heldBytes = 0, largestBytes = 0))
     }
 }
