Choose the directory's hosts for a caller by their capacity

Callers pick one of the listed hosts at random, so a host with 0.21 core got as many connections as one with 1.5 cores.

Settings have an optional section [capacity], which host records and reports carry as optional fields. Where the capacities of the known hosts of a region differ by more than a factor of 4, DirectorySelection lists hosts of similar capacity, chosen by the caller's address; otherwise the answer is as before. The directory's handler is a class of its own, as GatewayServers had too many parameters.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
@@ -153,9 +153,17 @@
             loanWaiters,
         ) { isServing }
     private val servers =
-        GatewayServers(settings, adapter, xnioWorker, bufferPool, callerHandler, relayHandler, controller, cache, metrics, clock) {
-            isServing
-        }
+        GatewayServers(
+            settings,
+            adapter,
+            xnioWorker,
+            bufferPool,
+            callerHandler,
+            DirectoryHandler(settings, adapter, controller, metrics, clock, log) { isServing },
+            relayHandler,
+            cache,
+            metrics,
+        ) { isServing }
     private var isDraining = false
     private var isCallerListenerOpen = false
     private val stopped = CompletableFuture<Boolean>()
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/GatewayServers.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/GatewayServers.kt
@@ -1,24 +1,20 @@
 package io.kumquatmill.gateway
 
 import io.kumquatmill.common.fleet.HostAddress
-import io.kumquatmill.common.time.MonotonicClock
 import io.kumquatmill.gateway.metrics.GatewayMetrics
 import io.kumquatmill.gateway.peer.PeerState
 import io.kumquatmill.gateway.relay.RelayHeaders
 import io.kumquatmill.gateway.settings.GatewaySettings
 import io.kumquatmill.gateway.store.StateCache
-import io.kumquatmill.traffic.control.TrafficController
 import io.undertow.Undertow
 import io.undertow.UndertowOptions
 import io.undertow.connector.ByteBufferPool
 import io.undertow.server.HttpHandler
 import io.undertow.server.HttpServerExchange
 import io.undertow.server.handlers.HttpContinueReadHandler
-import io.undertow.util.Headers
 import kotlinx.serialization.json.Json
 import org.xnio.Options
 import org.xnio.XnioWorker
-import java.nio.ByteBuffer
 
 /** HTTP listeners of an entry host: for callers, readiness probe, directory, peer state and metrics. */
 internal class GatewayServers(
@@ -27,17 +23,16 @@
     private val xnioWorker: XnioWorker,
     private val bufferPool: ByteBufferPool,
     callerHandler: HttpHandler,
+    directoryHandler: HttpHandler,
     private val relayHandler: HttpHandler,
-    private val controller: TrafficController,
     private val cache: StateCache,
     private val metrics: GatewayMetrics,
-    private val clock: MonotonicClock,
     private val isServing: () -> Boolean,
 ) {
     private val internalServer =
         builder()
             .listen(settings.readinessAddress, HttpHandler { handleReadiness(it) })
-            .listen(settings.directoryAddress, HttpHandler { handleDirectory(it) })
+            .listen(settings.directoryAddress, directoryHandler)
             .listen(settings.peerStateAddress, HttpHandler { handlePeerState(it) })
             .apply { settings.metricsPort?.let { port -> listen(HostAddress(settings.self.ip, port), HttpHandler { handleMetrics(it) }) } }
             .build()
@@ -88,50 +83,25 @@
         )
     }
 
-    private fun handleDirectory(exchange: HttpServerExchange) {
-        if (exchange.requestPath != adapter.directoryPath) return exchange.respond(NOT_FOUND)
-        val region = exchange.queryParameters[adapter.regionParameter]?.firstOrNull().orEmpty()
-        val hosts = controller.servingHosts(clock.nowMs(), region, isServing()).take(MAX_DIRECTORY_ADDRESSES)
-        if (hosts.isEmpty()) return exchange.respond(UNAVAILABLE)
-        val addresses = hosts.map { HostAddress(it.ip, settings.callerAddress.port).toString() }
-        exchange.respond(OK, JSON, adapter.encodeDirectoryResponse(addresses, settings.directoryTtlS))
-    }
-
     private fun handlePeerState(exchange: HttpServerExchange) {
         if (exchange.requestHeaders.contains(RelayHeaders.WORKER)) return relayHandler.handleRequest(exchange)
         if (exchange.requestPath != PeerSynchronizer.STATE_PATH) return exchange.respond(NOT_FOUND)
         val state = PeerState(cache.revision, cache.allEntries())
-        exchange.respond(OK, JSON, Json.encodeToString(PeerState.serializer(), state).toByteArray())
+        exchange.respond(OK, body = Json.encodeToString(PeerState.serializer(), state).toByteArray())
     }
 
     private fun handleMetrics(exchange: HttpServerExchange) =
-        exchange.respond(OK, "text/plain; version=0.0.4", metrics.scrape().toByteArray())
-
-    private fun HttpServerExchange.respond(
-        status: Int,
-        contentType: String = JSON,
-        body: ByteArray = EMPTY_OBJECT,
-    ) {
-        statusCode = status
-        responseHeaders.put(Headers.CONTENT_TYPE, contentType)
-        responseContentLength = body.size.toLong()
-        responseSender.send(ByteBuffer.wrap(body))
-    }
+        exchange.respond(OK, metrics.scrape().toByteArray(), "text/plain; version=0.0.4")
 
     private companion object {
         const val OK = 200
         const val NOT_FOUND = 404
         const val UNAVAILABLE = 503
-        const val JSON = "application/json"
-
-        /** Callers read at most this many addresses. */
-        const val MAX_DIRECTORY_ADDRESSES = 64
         const val BACKLOG = 1_024
         const val MAX_HEADER_BYTES = 64 * 1024
         const val HEADER_TIMEOUT_MS = 10_000
 
         /** Longer than any caller keeps an idle connection, so that no request arrives on a connection being closed. */
         const val IDLE_TIMEOUT_MS = 120_000
-        val EMPTY_OBJECT = "{}".toByteArray()
     }
 }
--- /dev/null
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/HttpResponses.kt
@@ -0,0 +1,19 @@
+package io.kumquatmill.gateway
+
+import io.undertow.server.HttpServerExchange
+import io.undertow.util.Headers
+import java.nio.ByteBuffer
+
+private val emptyObject = "{}".toByteArray()
+
+/** Sends a complete response with [status] and [body]. */
+internal fun HttpServerExchange.respond(
+    status: Int,
+    body: ByteArray = emptyObject,
+    contentType: String = "application/json",
+) {
+    statusCode = status
+    responseHeaders.put(Headers.CONTENT_TYPE, contentType)
+    responseContentLength = body.size.toLong()
+    responseSender.send(ByteBuffer.wrap(body))
+}
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
@@ -107,6 +107,9 @@
                 stalePeers = controller.stalePeers(nowMs),
                 workerReachAgeMs = controller.workerReachAgeMs(nowMs),
                 isCutOff = controller.isCutOff,
+                cores = self.cores,
+                linkMbps = self.linkMbps,
+                memoryMb = self.memoryMb,
             )
         logContactChange(report.stalePeers, controller.isIsolated(nowMs))
         return report
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
@@ -108,6 +108,16 @@
     /** Counts a request that this host passed on for a peer, or refused to, by its [result]. */
     fun countRelay(result: String) = registry.counter("kumquatmill.relays", "result", result).increment()
 
+    /** Counts an answer of the directory by whether it lists [hosts] chosen by capacity or all hosts, and the hosts that it lists. */
+    fun countDirectoryAnswer(
+        isByCapacity: Boolean,
+        hosts: Int,
+    ) {
+        val kind = if (isByCapacity) "by-capacity" else "all"
+        registry.counter("kumquatmill.directory.answers", "kind", kind).increment()
+        registry.counter("kumquatmill.directory.hosts", "kind", kind).increment(hosts.toDouble())
+    }
+
     /** Sets whether this host is cut off from all workers. */
     fun setCutOff(isCutOff: Boolean) = cutOff.set(if (isCutOff) 1 else 0)
 
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/ReportFrame.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/ReportFrame.kt
@@ -23,6 +23,9 @@
     @SerialName("e") val leavingWorkers: LeavingColumns? = null,
     @SerialName("o") val workerReachAgeMs: Long? = null,
     @SerialName("x") val isCutOff: Boolean = false,
+    @SerialName("k") val cores: Double? = null,
+    @SerialName("b") val linkMbps: Double? = null,
+    @SerialName("m") val memoryMb: Double? = null,
 ) {
     /** Throws [IllegalArgumentException] if a time is negative. */
     fun toReport() =
@@ -44,6 +47,9 @@
             stalePeers = stalePeers,
             workerReachAgeMs = workerReachAgeMs?.also { require(it >= 0) { "negative time since a worker responded: $it" } },
             isCutOff = isCutOff,
+            cores = cores,
+            linkMbps = linkMbps,
+            memoryMb = memoryMb,
         )
 
     companion object {
@@ -65,6 +71,9 @@
                 leavingWorkers = report.leavingWorkers.ifEmpty { null }?.let { LeavingColumns.of(it) },
                 workerReachAgeMs = report.workerReachAgeMs,
                 isCutOff = report.isCutOff,
+                cores = report.cores,
+                linkMbps = report.linkMbps,
+                memoryMb = report.memoryMb,
             )
     }
 }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/settings/GatewaySettingsLoader.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/settings/GatewaySettingsLoader.kt
@@ -19,7 +19,8 @@
 
 private const val ZONES_SECTION = "availability-zones"
 private const val MILLIS_PER_SECOND = 1_000L
-private val sectionNames = setOf("host", "listen", "peers", "store", "directory", "stop", "log", "retries", "cold-workers", ZONES_SECTION)
+private val sectionNames =
+    setOf("host", "listen", "peers", "store", "directory", "stop", "log", "retries", "cold-workers", "capacity", ZONES_SECTION)
 private val logLevels = listOf("debug", "info", "warn", "error").associateWith { it }
 
 /** Reads and validates the INI file [file] of an entry host. Returns all errors that were found, not only the first one. */
@@ -50,7 +51,7 @@
                     region = name("region"),
                     availabilityZone = name("availability-zone"),
                 )
-            }
+            }.let { withCapacity(it) }
         val zones = zones()
         if (self.availabilityZone.isNotEmpty() && AvailabilityZoneId(self.availabilityZone) !in zones) {
             errors.add(
@@ -134,6 +135,21 @@
         )
     }
 
+    /** Returns [host] with its capacity. The processor share and the speed of a core are separate, as templates cannot multiply. */
+    private fun withCapacity(host: EntryHostInfo): EntryHostInfo =
+        section("capacity") {
+            val cpuShare = optionalPositiveDouble("cpu-share")
+            val coreSpeed = optionalPositiveDouble("core-speed")
+            host.copy(
+                cores = if (cpuShare == null && coreSpeed == null) null else (cpuShare ?: 1.0) * (coreSpeed ?: 1.0),
+                linkMbps = optionalPositiveDouble("link-mbps"),
+                memoryMb = optionalPositiveDouble("memory-mb"),
+            )
+        }
+
+    private fun SectionReader.optionalPositiveDouble(key: String): Double? =
+        if (optionalText(key).isNullOrBlank()) null else positiveDouble(key)
+
     private fun zones(): Map<AvailabilityZoneId, RegionId> =
         section(ZONES_SECTION) { optionsWithPrefix("") }.entries.associate { (zone, region) ->
             AvailabilityZoneId(zone) to RegionId(region)
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/peer/PeerMessageCodecTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/peer/PeerMessageCodecTest.kt
@@ -3,12 +3,14 @@
 import io.kumquatmill.common.id.WorkspaceId
 import io.kumquatmill.traffic.crash.CrashReport
 import io.kumquatmill.traffic.crash.RequestFingerprint
+import io.kumquatmill.traffic.fleet.EntryHostInfo
 import io.kumquatmill.traffic.fleet.PeerReport
 import io.kumquatmill.traffic.fleet.WorkerLimitObservation
 import io.kumquatmill.traffic.fleet.WorkerTag
 import io.kumquatmill.traffic.fleet.WorkspaceTag
 import io.kumquatmill.traffic.ratelimit.LoanGrant
 import io.kumquatmill.traffic.ratelimit.LoanRequest
+import kotlinx.serialization.json.Json
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -116,6 +118,18 @@
         listOf(isNegative, isShorter).forEach { assertFailsWith<MalformedPeerMessageException> { PeerMessageCodec.decode(it) } }
     }
 
+    @Test
+    fun `the capacity of a host is decoded as it was sent, and a report without one is that of an earlier build`() {
+        val sent = report().copy(cores = 1.5, linkMbps = 140.0, memoryMb = 682.0)
+        val bytes = PeerMessageCodec.encode(PeerMessage(report = sent))
+        assertEquals(sent, PeerMessageCodec.decode(bytes).report)
+        val added = bytes.size - PeerMessageCodec.encode(PeerMessage(report = report())).size
+        assertEquals(3 * 11, added, "expected only the three fields in addition")
+        val record = Json.encodeToString(EntryHostInfo.serializer(), report().sender)
+        assertEquals("""{"host":"front-east-a-1","ip":"10.1.0.7","region":"east","availabilityZone":"east-a"}""", record)
+        assertEquals(report().sender, Json.decodeFromString(EntryHostInfo.serializer(), record))
+    }
+
     private fun crashReport(crashes: Int = 2) =
         CrashReport(
             crashes = (1..crashes).map { CrashReport.Crash(RequestFingerprint(Long.MIN_VALUE + it), WorkerTag(-it), 86_400_000, 90) },
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/FleetExchange.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/FleetExchange.kt
@@ -2,6 +2,8 @@
 
 import io.kumquatmill.traffic.crash.CrashReport
 import io.kumquatmill.traffic.crash.CrashingRequests
+import io.kumquatmill.traffic.fleet.DirectoryAnswer
+import io.kumquatmill.traffic.fleet.DirectorySelection
 import io.kumquatmill.traffic.fleet.EntryHostInfo
 import io.kumquatmill.traffic.fleet.FleetView
 import io.kumquatmill.traffic.fleet.PeerReport
@@ -60,6 +62,13 @@
         isServing: Boolean,
     ): List<EntryHostInfo> = fleet.servingHosts(nowMs, region, isServing, reach.isCutOff)
 
+    override fun directory(
+        nowMs: Long,
+        region: String,
+        isServing: Boolean,
+        callerIp: String,
+    ): DirectoryAnswer = DirectorySelection.select(callerIp, servingHosts(nowMs, region, isServing), fleet.hosts())
+
     override fun demandPerS(nowMs: Long): Map<WorkspaceTag, Double> = rateLimiter.demandPerS(nowMs)
 
     override fun demandFor(
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/PeerExchange.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/PeerExchange.kt
@@ -1,6 +1,8 @@
 package io.kumquatmill.traffic.control
 
 import io.kumquatmill.traffic.crash.CrashReport
+import io.kumquatmill.traffic.fleet.DirectoryAnswer
+import io.kumquatmill.traffic.fleet.DirectorySelection
 import io.kumquatmill.traffic.fleet.EntryHostInfo
 import io.kumquatmill.traffic.fleet.PeerReport
 import io.kumquatmill.traffic.fleet.WorkerLimitObservation
@@ -48,6 +50,14 @@
         isServing: Boolean,
     ): List<EntryHostInfo>
 
+    /** Returns the hosts that the caller at the address [callerIp] should use, see [servingHosts] and [DirectorySelection]. */
+    fun directory(
+        nowMs: Long,
+        region: String,
+        isServing: Boolean,
+        callerIp: String,
+    ): DirectoryAnswer
+
     /** Returns this host's demand by workspace, in requests per second, to be reported to peers. */
     fun demandPerS(nowMs: Long): Map<WorkspaceTag, Double>
 
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/PeerReport.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/PeerReport.kt
@@ -18,6 +18,9 @@
  * @property stalePeers names of the peers without a fresh report
  * @property workerReachAgeMs time in milliseconds since a worker last responded to the host directly, or null if none has
  * @property isCutOff whether the host is cut off from all workers and sends requests through its peers
+ * @property cores processing capacity of the host, see [EntryHostInfo.cores]
+ * @property linkMbps bandwidth of the host's network link in megabits per second, or null if unknown
+ * @property memoryMb memory of the host in megabytes, or null if unknown
  */
 data class PeerReport(
     val host: String,
@@ -37,8 +40,11 @@
     val stalePeers: List<String> = emptyList(),
     val workerReachAgeMs: Long? = null,
     val isCutOff: Boolean = false,
+    val cores: Double? = null,
+    val linkMbps: Double? = null,
+    val memoryMb: Double? = null,
 ) {
     /** Record of the host that sent this report. */
     val sender: EntryHostInfo
-        get() = EntryHostInfo(host, ip, region, availabilityZone)
+        get() = EntryHostInfo(host, ip, region, availabilityZone, cores, linkMbps, memoryMb)
 }
