--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/capacity/Sizes.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/capacity/Sizes.kt
@@ -15,6 +15,7 @@
         val blockCounts = listOf(100_000, 300_000, 840_000)
         val workspaceCounts = listOf(8, 1_000, 3_000, 6_000)
         val workerCounts = listOf(40, 400, 1_100)
+        val upstreamWorkerCounts = listOf(40, 200, 500)
         val limitCounts = listOf(60, 240, 960, 3_000)
         val today = Sizes(hosts = 7, blocks = 6, sites = 3, regions = 3, zones = 6, workspaces = 8, workers = 40)
         val target =
