Read loads of workers with further or damaged values

A Server-Load header with a fourth value, or with one value that is no number, was ignored as a whole, so the host took the worker for less busy than it was. The known values are now used: WorkerLoad has an optional servicePercent, and a value that is not valid is null. A queue without a legible number of running requests counts as full slots; an empty one says nothing. Headers with fewer than three values are ignored as before. Splitting stops after the known values, so a long header makes no long list.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/ResponseClassification.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/ResponseClassification.kt
@@ -6,6 +6,7 @@
 import io.kumquatmill.traffic.control.StatedRateLimit
 import io.kumquatmill.traffic.control.WorkerLoad
 import io.undertow.util.HeaderMap
+import kotlin.math.roundToInt
 
 private const val MISDIRECTED_REQUEST = 421
 private val successStatuses = 200..299
@@ -88,15 +89,28 @@
         ?.firstOrNull { it != id }
         ?.let { "the answer belongs to request $it" }
 
-/** Returns the load from the header of [response], which has the form "running,waiting,slots"; null if it is absent or invalid. */
+/**
+ * Returns the load from the header of [response], which has the form "running,waiting,slots" with further values behind it, of which the
+ * first is the current service time in percent. Values that are not valid are null, values behind the known ones are ignored; the load is
+ * null if the header is absent, has fewer than three values, or none that is valid.
+ */
 private fun parseWorkerLoad(
     response: CallResult.Response,
     headerNames: HttpHeaderNames,
 ): WorkerLoad? {
-    val fields = response.header(headerNames.workerLoad)?.split(',')?.map { it.trim().toIntOrNull() ?: return null } ?: return null
-    return if (fields.size == LOAD_FIELD_COUNT && fields.all { it >= 0 }) WorkerLoad(fields[0], fields[1], fields[2]) else null
+    val fields = response.header(headerNames.workerLoad)?.split(',', limit = KNOWN_LOAD_FIELDS + 1) ?: return null
+    if (fields.size < MIN_LOAD_FIELDS) return null
+    val (running, waiting, slots) = fields.take(MIN_LOAD_FIELDS).map { field -> field.trim().toIntOrNull()?.takeIf { it >= 0 } }
+    val servicePercent = fields.getOrNull(MIN_LOAD_FIELDS)?.let(::parseServicePercent)
+    return WorkerLoad(running, waiting, slots, servicePercent).takeIf { it != unknownLoad }
 }
 
+/** Returns the service time in percent that [text] states, rounded, or null if it is no number or outside the accepted range. */
+private fun parseServicePercent(text: String): Int? =
+    parseDecimal(text)
+        ?.takeIf { it > 0 && it <= MAX_SERVICE_PERCENT }
+        ?.let { maxOf(1, it.roundToInt()) }
+
 /** Returns the rate limit that [response] names; the lowest one if it names several, and at most [MAX_RATE_LIMIT_PER_S]. */
 private fun parseRateLimit(
     response: CallResult.Response,
@@ -114,7 +128,10 @@
         .takeIf { it.length <= MAX_NUMBER_LENGTH && decimalPattern.matches(it) }
         ?.toDouble()
 
-private const val LOAD_FIELD_COUNT = 3
+private const val MIN_LOAD_FIELDS = 3
+private const val KNOWN_LOAD_FIELDS = 4
+private const val MAX_SERVICE_PERCENT = 10_000
+private val unknownLoad = WorkerLoad(running = null, waiting = null, slots = null)
 
 /** No worker takes more, so a higher limit has no effect. */
 private const val MAX_RATE_LIMIT_PER_S = 1_000_000.0
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/AttemptResults.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/AttemptResults.kt
@@ -45,11 +45,11 @@
         if (result is AttemptResult.Answered || result is AttemptResult.Shed) leaving.onAnswered(nowMs, attempt.sentAtMs, worker.entry)
         return when (result) {
             is AttemptResult.Answered -> {
-                result.load?.let { worker.onLoadReport(nowMs, it.running, it.waiting) }
+                recordLoad(nowMs, worker, result.load)
                 onAnswered(nowMs, request, attempt, result.status)
             }
             is AttemptResult.Shed -> {
-                result.load?.let { worker.onLoadReport(nowMs, it.running, it.waiting) }
+                recordLoad(nowMs, worker, result.load)
                 worker.onShed(nowMs)
                 retryUnexecuted(nowMs, request, isBudgetExempt = false)
             }
@@ -74,6 +74,14 @@
         }
     }
 
+    private fun recordLoad(
+        nowMs: Long,
+        worker: TrackedWorker,
+        load: WorkerLoad?,
+    ) {
+        load?.requests(worker.entry.slots)?.let { worker.onLoadReport(nowMs, it) }
+    }
+
     /** Ends a request that a worker may have run, or sends it to another worker if its route is idempotent. */
     private fun onUnknown(
         nowMs: Long,
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/TrackedWorker.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/TrackedWorker.kt
@@ -150,12 +150,12 @@
         onFailed(nowMs, isUnreachable = false)
     }
 
+    /** Records that the worker reported a total of [requests] running and waiting requests. */
     internal fun onLoadReport(
         nowMs: Long,
-        running: Int,
-        waiting: Int,
+        requests: Long,
     ) {
-        reportedLoad = LoadEstimate(max(0L, running.toLong() + waiting - inFlight), nowMs)
+        reportedLoad = LoadEstimate(max(0L, requests - inFlight), nowMs)
         shedLoad = LoadEstimate.NONE
     }
 
