Rank workers without scoring and sorting all of them for each request

Placement.choose took a logarithm for each worker of the upstream, sorted all, and made several lists, for each request.

Lists of eligible and available workers are made only for a refusal.

--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
@@ -1,11 +1,11 @@
 package io.kumquatmill.traffic.placement
 
 import io.kumquatmill.common.hash.combineHashes
+import io.kumquatmill.common.hash.toUnitInterval
 import io.kumquatmill.common.id.AvailabilityZoneId
 import io.kumquatmill.common.id.RegionId
 import io.kumquatmill.common.id.UpstreamId
 import io.kumquatmill.traffic.model.TrafficRoute
-import kotlin.math.ln
 import kotlin.math.max
 import kotlin.math.min
 
@@ -33,40 +33,46 @@
         val acceptsKey: Boolean,
     )
 
-    private class CachedWeights(
+    private class CachedRanking(
         val workersVersion: Long,
-        val byRegion: Map<RegionId, Double>,
+        val ranking: WorkerRanking,
     )
 
     private val ownRegion: RegionId? = regionByZone[ownZone]
     private val serviceTimes = ServiceTimes()
     private val regionWeights = RegionWeights(settings.ownRegionPreference)
-    private val weightsByUpstream = HashMap<UpstreamId, CachedWeights>()
+    private val rankings = HashMap<UpstreamId, CachedRanking>()
 
     /** Returns the worker for [query], or the reason why there is none. */
     fun choose(
         nowMs: Long,
         query: PlacementQuery,
     ): PlacementChoice {
+        val best = best(nowMs, query, isToldLeaving = false) ?: best(nowMs, query, isToldLeaving = true)
+        if (best != null) return PlacementChoice.Chosen(best.worker, best.waitMs, best.serviceMs)
         val eligible = workers.workersOf(query.upstream).filter { isEligible(it, query) }
-        val available = eligible.filter { it.isAvailable(nowMs) && it.entry.id !in query.triedWorkers }
-        if (available.isEmpty()) {
-            return if (eligible.isEmpty()) PlacementChoice.NoWorker else PlacementChoice.NoCapacity(unavailableMs(nowMs, query, eligible))
+        val available = eligible.filter { isAvailable(nowMs, it, query) }
+        return when {
+            eligible.isEmpty() -> PlacementChoice.NoWorker
+            available.isEmpty() -> PlacementChoice.NoCapacity(unavailableMs(nowMs, query, eligible))
+            else -> noCapacity(nowMs, query, available)
         }
-        val (toldLeaving, others) = available.partition { workers.isToldLeaving(nowMs, it) }
-        val best = best(nowMs, query, others) ?: best(nowMs, query, toldLeaving)
-        return best?.let { PlacementChoice.Chosen(it.worker, it.waitMs, it.serviceMs) } ?: noCapacity(nowMs, query, available)
     }
 
+    /** Returns the best of the workers that peers have reported to leave if [isToldLeaving], or else of the others. */
     private fun best(
         nowMs: Long,
         query: PlacementQuery,
-        available: List<TrackedWorker>,
-    ): Candidate? =
-        ranked(query, available)
-            .mapIndexed { rank, worker -> candidate(nowMs, query, worker, rank) }
-            .filter { it.acceptsKey && isInTime(query, it) }
-            .minByOrNull { it.costMs }
+        isToldLeaving: Boolean,
+    ): Candidate? {
+        var best: Candidate? = null
+        ranked(nowMs, query, isToldLeaving).forEachIndexed { rank, worker ->
+            val candidate = candidate(nowMs, query, worker, rank)
+            val isPossible = candidate.acceptsKey && isInTime(query, candidate)
+            if (isPossible && best.let { it == null || candidate.costMs < it.costMs }) best = candidate
+        }
+        return best
+    }
 
     /** Records that the request of [query] was sent to [worker]. */
     fun onSent(
@@ -105,6 +111,12 @@
         durationMs: Double,
     ) = worker.onTimedOut(nowMs, durationMs / serviceTimes.expectedMs(route, wasCached))
 
+    private fun isAvailable(
+        nowMs: Long,
+        worker: TrackedWorker,
+        query: PlacementQuery,
+    ): Boolean = worker.entry.id !in query.triedWorkers && worker.isAvailable(nowMs)
+
     private fun isEligible(
         worker: TrackedWorker,
         query: PlacementQuery,
@@ -145,37 +157,33 @@
         return max(0.0, query.route.targetLatencyMs - candidate.serviceMs) * settings.maxWaitFractions[rank]
     }
 
-    /** Returns the workers that the affinity key prefers, most preferred first. */
+    /** Returns the workers that the affinity key prefers among the available ones, most preferred first. */
     private fun ranked(
+        nowMs: Long,
         query: PlacementQuery,
-        available: List<TrackedWorker>,
-    ): List<TrackedWorker> {
-        if (available.size <= 1) return available
-        val weights = slotWeights(query.upstream)
-        return available
-            .map { it to score(query.affinityHash, it, weights) }
-            .sortedByDescending { (_, score) -> score }
-            .take(settings.maxCandidates)
-            .map { (worker, _) -> worker }
-    }
+        isToldLeaving: Boolean,
+    ): List<TrackedWorker> =
+        ranking(query.upstream).first(query.affinityHash, settings.maxCandidates, isShared = query.hasAffinityKey) {
+            workers.isToldLeaving(nowMs, it) == isToldLeaving && isEligible(it, query) && isAvailable(nowMs, it, query)
+        }
 
-    /** Returns the score of weighted rendezvous hashing: each worker ranks first for a fraction of the keys in proportion to its weight. */
-    private fun score(
-        affinityHash: Long,
-        worker: TrackedWorker,
-        weights: Map<RegionId, Double>,
-    ): Double {
-        val weight = worker.entry.slots * (regionOf(worker)?.let { weights[it] } ?: 1.0)
-        return -weight / ln(max(toUnitInterval(combineHashes(affinityHash, worker.nameHash)), Double.MIN_VALUE))
+    /** Returns the ranking of the workers of [upstream]; most new states change none of them, so that it stays as it is. */
+    private fun ranking(upstream: UpstreamId): WorkerRanking {
+        val cached = rankings[upstream]
+        if (cached != null && cached.workersVersion == workers.version) return cached.ranking
+        val current = workers.workersOf(upstream)
+        val byRegion = slotWeights(current)
+        val weightOf = { worker: TrackedWorker -> worker.entry.slots * (regionOf(worker)?.let { byRegion[it] } ?: 1.0) }
+        val ranking = cached?.ranking?.takeIf { it.isOf(current, weightOf) } ?: WorkerRanking(current, weightOf)
+        rankings[upstream] = CachedRanking(workers.version, ranking)
+        return ranking
     }
 
     /** Returns the weight of a slot in each region, assuming that the callers of all zones cause the same demand. */
-    private fun slotWeights(upstream: UpstreamId): Map<RegionId, Double> {
+    private fun slotWeights(upstreamWorkers: List<TrackedWorker>): Map<RegionId, Double> {
         val callerRegion = ownRegion ?: return emptyMap()
-        val cached = weightsByUpstream[upstream]
-        if (cached != null && cached.workersVersion == workers.version) return cached.byRegion
         val slots = HashMap<RegionId, Double>()
-        workers.workersOf(upstream).forEach { worker ->
+        upstreamWorkers.forEach { worker ->
             regionOf(worker)?.let { slots.merge(it, worker.entry.slots.toDouble(), Double::plus) }
         }
         val demand =
@@ -183,9 +191,7 @@
                 .groupingBy { it }
                 .eachCount()
                 .mapValues { (_, count) -> count.toDouble() }
-        return regionWeights
-            .slotWeights(callerRegion, slots, demand)
-            .also { weightsByUpstream[upstream] = CachedWeights(workers.version, it) }
+        return regionWeights.slotWeights(callerRegion, slots, demand)
     }
 
     /** Refuses a request that would have to wait too long at every worker. */
@@ -242,9 +248,6 @@
 
     private fun roundTripMs(worker: TrackedWorker): Double = if (regionOf(worker) == ownRegion) 0.0 else settings.crossRegionRoundTripMs
 
-    /** Maps a hash to a number from 0 to 1. */
-    private fun toUnitInterval(hash: Long): Double = (hash ushr HASH_SHIFT) / HASH_RANGE
-
     private companion object {
         /** A failure costs the caller about one retry, which seldom meets the target latency. */
         const val FAILURE_COST_FACTOR = 2.0
@@ -262,7 +265,5 @@
 
         /** Time over which callers return after a pause, so that the worker is not full at once again. */
         const val PAUSE_SPREAD_MS = 1_000.0
-        const val HASH_SHIFT = 11
-        const val HASH_RANGE = 9.007199254740992E15
     }
 }
