Close connections of callers that read least when responses take too much memory

Cause: the body of a response stays in memory until its caller has read it, without a bound over all callers.

Beyond a fifth of the heap, the caller that has read nothing for the longest time gives way. Responses that are written at once are not counted. Metrics kumquatmill_responses_unread_bytes and kumquatmill_callers_closed_slow_total, one log line for each connection.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
@@ -218,6 +218,7 @@
         stateUpdater.tick(nowMs)
         controller.tick(nowMs)
         httpClient.closeExpiredConnections()
+        callerHandler.tick()
         metrics.setLimitedWorkers(controller.limitedWorkers)
         metrics.setQuarantinedRequests(controller.quarantinedRequests)
         stateUpdater.answerAgeMs(nowMs)?.let { metrics.setStoreAnswerAge(it) }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerHandler.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerHandler.kt
@@ -42,7 +42,8 @@
     private val activeRequests = LinkedHashSet<CallerRequest>()
     private val connections = CallerConnections(context.maxConnections) { context.metrics.countClosedIdleConnections(it) }
 
-    private val pipelines = PipelineContext(ReadAheadLimit(), context.metrics, context.log, { isDraining }, ::openAhead)
+    private val slowCallers = SlowCallers(context.clock, context.metrics, context.log)
+    private val pipelines = PipelineContext(ReadAheadLimit(), context.metrics, context.log, slowCallers, { isDraining }, ::openAhead)
     private var drainSchedule: DrainSchedule? = null
 
     /** Whether this host is stopping and closes each connection after its response. */
@@ -58,6 +59,9 @@
         drainSchedule = schedule
     }
 
+    /** Notes how much callers have read of their responses; called several times a second. */
+    fun tick() = slowCallers.tick()
+
     override fun handleRequest(exchange: HttpServerExchange) {
         connections.onRequest(exchange)
         val pipeline = pipelineOf(exchange.connection)
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
@@ -93,7 +93,7 @@
             call?.cancel()
             endWork()
         }
-        complete(HeldResponse(CLIENT_CLOSED_REQUEST, outcome) { })
+        complete(HeldResponse(CLIENT_CLOSED_REQUEST, outcome, bodyBytes = 0) { })
     }
 
     private fun begin() {
@@ -280,11 +280,11 @@
         if (isFinished) return
         endWork()
         pipeline.onResponse(bodyBytes)
-        val response = HeldResponse(status, outcome, respond)
+        val response = HeldResponse(status, outcome, bodyBytes, respond)
         when {
             exchange != null || isCallerDisconnected -> complete(response)
             pipeline.hold(this, bodyBytes + HELD_HEAD_BYTES) -> heldResponse = response
-            else -> complete(HeldResponse(status, DISCARDED) { })
+            else -> complete(HeldResponse(status, DISCARDED, bodyBytes) { })
         }
     }
 
@@ -298,7 +298,9 @@
         val open = exchange
         if (isCallerDisconnected || open == null) return
         pipeline.beforeResponse(open)
-        if (!open.isComplete) response.respond(open)
+        if (open.isComplete) return
+        response.respond(open)
+        pipeline.onSending(open, response.bodyBytes)
     }
 
     /** Ends the request when the caller's deadline or the route's timeout has passed. */
@@ -345,6 +347,7 @@
     private class HeldResponse(
         val status: Int,
         val outcome: String,
+        val bodyBytes: Int,
         val respond: (HttpServerExchange) -> Unit,
     )
 
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
@@ -30,6 +30,7 @@
     private val quarantinedRequests = AtomicInteger().also { registry.gauge("kumquatmill.requests.quarantined", it) }
     private val cutOff = AtomicInteger().also { registry.gauge("kumquatmill.cut.off", it) }
     private val storeEra = AtomicLong().also { registry.gauge("kumquatmill.store.era", it) }
+    private val unreadResponseBytes = AtomicLong().also { registry.gauge("kumquatmill.responses.unread.bytes", it) }
     private val storeAnswerAgeMs = AtomicLong()
     private val durations = HashMap<String, Timer>()
 
@@ -119,6 +120,12 @@
     /** Sets the time since the store last answered the watch of this host. */
     fun setStoreAnswerAge(ageMs: Long) = storeAnswerAgeMs.set(ageMs)
 
+    /** Sets the bytes of the bodies of responses that callers have not read completely. */
+    fun setUnreadResponseBytes(bytes: Long) = unreadResponseBytes.set(bytes)
+
+    /** Counts a caller's connection that was closed because the caller read its response slowest while responses took too much memory. */
+    fun countClosedSlowCaller() = registry.counter("kumquatmill.callers.closed.slow").increment()
+
     /** Counts an [event] in the life of a request that is read ahead on a caller's connection. */
     fun countReadAhead(event: ReadAheadEvent) = readAheadCounters.getValue(event).increment()
 
