--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
@@ -227,6 +227,7 @@
         stateUpdater.tick(nowMs)
         controller.tick(nowMs)
         httpClient.closeExpiredConnections()
+        callerHandler.tick()
         metrics.setLimitedWorkers(controller.limitedWorkers)
         metrics.setQuarantinedRequests(controller.quarantinedRequests)
         stateUpdater.answerAgeMs(nowMs)?.let { metrics.setStoreAnswerAge(it) }
