Use the speed that workers report for requests without an affinity key

Some workers report as a fourth value of their load how long work currently takes. It changes every 600 ms, so it is used only while it probably holds: ReportedSpeed lowers its weight evenly to zero within 600 ms and up to the expected start of the request. It only slows a worker down, by at most 4, and the largest of the reported and measured slowdowns counts. What a report explains of a slow response is not measured as well.

New metrics kumquatmill.worker.loads.reported and kumquatmill.worker.speeds.reported, and servicePercent in the log line of an attempt. ReportedSpeedTest passes, also that decisions do not change with three values, usual speeds or keys.

--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/LoadPattern.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/LoadPattern.kt
@@ -9,6 +9,8 @@
  * @property durationMs time during which callers send requests
  * @property demandFactor factor on the request rate of a zone at a given time
  * @property slownessFactor factor on the service time of a worker at a given time
+ * @property reportsSpeed whether workers report this factor with their load
+ * @property hostCount number of entry hosts, which are distributed evenly over the zones
  */
 internal data class LoadPattern(
     val name: String,
@@ -20,4 +22,6 @@
     val durationMs: Long,
     val demandFactor: (zone: String, nowMs: Long) -> Double = { _, _ -> 1.0 },
     val slownessFactor: (worker: String, nowMs: Long) -> Double = { _, _ -> 1.0 },
+    val reportsSpeed: Boolean = false,
+    val hostCount: Int = regionByZone.size * hostsPerZone,
 )
--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/OverloadPolicy.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/OverloadPolicy.kt
@@ -17,7 +17,19 @@
         val noWaitLimit = OverloadPolicy("no wait limit", PlacementSettings(maxWaitFractions = listOf(100.0)))
         val noColdKeyLimit = OverloadPolicy("cold keys anywhere", PlacementSettings(uncachedKeyMaxLoad = 100.0))
 
+        val noReportedSpeed = OverloadPolicy("no reported speed", PlacementSettings(reportedSpeedTtlMs = 0))
+
         /** The design, followed by the variants with one mechanism disabled. */
-        val all = listOf(design, noAffinityKeys, noRegionPreference, ownRegionOnly, oneCandidate, noWaitLimit, noColdKeyLimit)
+        val all =
+            listOf(
+                design,
+                noAffinityKeys,
+                noRegionPreference,
+                ownRegionOnly,
+                oneCandidate,
+                noWaitLimit,
+                noColdKeyLimit,
+                noReportedSpeed,
+            )
     }
 }
--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/OverloadReplay.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/OverloadReplay.kt
@@ -44,7 +44,12 @@
     private val workerEntries = pattern.workersByZone.flatMap { (zone, count) -> (1..count).map { workerEntry("$zone-$it", zone) } }
     private val emulators = workerEntries.associate { it.id to createEmulator(it.id.value) }
     private val routeByProfile = pattern.requestProfiles.associateWith(::routeOf)
-    private val hosts = pattern.regionByZone.keys.flatMap { zone -> (1..pattern.hostsPerZone).map { createHost(zone, "$zone-host-$it") } }
+    private val zones = pattern.regionByZone.keys.toList()
+    private val hosts =
+        (0 until pattern.hostCount).map { index ->
+            val zone = zones[index % zones.size]
+            createHost(zone, "$zone-host-${index / zones.size + 1}")
+        }
 
     /** Replays the whole pattern once. */
     fun run(): ReplayResult {
@@ -61,7 +66,7 @@
 
     private fun tick(sequence: Long) {
         hosts.forEach { it.controller.tick(time.nowMs) }
-        if (sequence % TICKS_PER_REPORT == 0L) hosts.forEach { from -> sendReport(from, sequence) }
+        if (sequence * TICK_MS % hosts.first().controller.reportIntervalMs() == 0L) hosts.forEach { from -> sendReport(from, sequence) }
         time.after(TICK_MS) { tick(sequence + 1) }
     }
 
@@ -127,7 +132,7 @@
                 host.controller.begin(
                     time.nowMs,
                     resolution,
-                    if (policy.hasAffinityKeys) objectKey else null,
+                    if (policy.hasAffinityKeys && profile.hasAffinity) objectKey else null,
                     id,
                     deadlineMs,
                     RequestFingerprint(stableHash(id)),
@@ -248,7 +253,8 @@
         return Host(self, TrafficController(self, settings))
     }
 
-    private fun createEmulator(name: String) = WorkerEmulator(pattern.workerProfile, time) { pattern.slownessFactor(name, time.nowMs) }
+    private fun createEmulator(name: String) =
+        WorkerEmulator(pattern.workerProfile, time, pattern.reportsSpeed) { pattern.slownessFactor(name, time.nowMs) }
 
     private fun workerEntry(
         name: String,
@@ -273,7 +279,7 @@
             weightedUpstreams = listOf(WeightedUpstream(upstream, 1.0)),
             isIdempotent = profile.isIdempotent,
             isPublic = true,
-            hasAffinity = true,
+            hasAffinity = profile.hasAffinity,
             timeoutMs = null,
             targetLatencyMs = profile.targetLatencyMs,
             maxAttempts = 2,
@@ -297,7 +303,6 @@
         const val MS_PER_S = 1_000.0
         const val MIN_UNIFORM_SAMPLE = 1e-9
         const val TICK_MS = 250L
-        const val TICKS_PER_REPORT = 2L
         const val LOCAL_ONE_WAY_MS = 1L
         const val CROSS_REGION_ONE_WAY_MS = 36L
         const val SERVICE_TIME_SPREAD = 0.15
--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/Patterns.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/Patterns.kt
@@ -95,5 +95,5 @@
             }
         })
 
-    val all = listOf(unevenRegions, beyondCapacity, regionalBurst, wave, slowWorkers)
+    val all = listOf(unevenRegions, beyondCapacity, regionalBurst, wave, slowWorkers) + SpeedPatterns.all
 }
--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/RequestProfile.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/RequestProfile.kt
@@ -12,6 +12,7 @@
  * @property lateBenefit benefit of a later response
  * @property priority priority of the requests; 0 is the highest
  * @property isIdempotent whether a request may be executed more than once
+ * @property hasAffinity whether requests for the same object carry its key, so that they find it warm
  */
 internal data class RequestProfile(
     val name: String,
@@ -24,4 +25,5 @@
     val lateBenefit: Double,
     val priority: Int,
     val isIdempotent: Boolean = true,
+    val hasAffinity: Boolean = true,
 )
--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/WorkerEmulator.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/WorkerEmulator.kt
@@ -6,6 +6,7 @@
 internal class WorkerEmulator(
     private val profile: WorkerProfile,
     private val time: VirtualTime,
+    private val reportsSpeed: Boolean = false,
     private val slownessFactor: () -> Double,
 ) {
     private class Job(
@@ -32,7 +33,7 @@
         private set
 
     val load: WorkerLoad
-        get() = WorkerLoad(running, queue.size, profile.slots)
+        get() = WorkerLoad(running, queue.size, profile.slots, if (reportsSpeed) (slownessFactor() * PERCENT).toInt() else null)
 
     /**
      * Submits a request for [objectKey] and calls [onEnd] after its execution; returns a function that cancels it, or null if the
@@ -71,5 +72,6 @@
 
     private companion object {
         const val LOAD_FACTOR = 0.75f
+        const val PERCENT = 100
     }
 }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
@@ -203,6 +203,7 @@
         lastUse = null
         context.metrics.countAttempt(result)
         context.metrics.countStatedLimit(result.rateLimit)
+        context.metrics.countReportedLoad(result.load)
         if (isCallerDisconnected) {
             controller.abandon(clock.nowMs(), sentRequest, isWorkerSlow = false, result)
             return finish(CLIENT_CLOSED_REQUEST, "caller-left") { }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/RequestLog.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/RequestLog.kt
@@ -100,6 +100,7 @@
                 .addAnswer(answer, isWhole = result !is AttemptResult.Answered)
                 .addUse(use)
         result.notRunBecause?.let { line.addKeyValue("notRunBecause", it) }
+        result.load?.servicePercent?.let { line.addKeyValue("servicePercent", it) }
         when (result) {
             is AttemptResult.Answered -> line.addLimit(result.rateLimit)
             is AttemptResult.Unreachable -> line.addKeyValue("detail", result.detail)
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
@@ -4,6 +4,7 @@
 import io.kumquatmill.gateway.log.resultName
 import io.kumquatmill.traffic.control.AttemptResult
 import io.kumquatmill.traffic.control.StatedRateLimit
+import io.kumquatmill.traffic.control.WorkerLoad
 import io.kumquatmill.traffic.crash.CrashEvent
 import io.kumquatmill.traffic.leaving.LeavingChange
 import io.kumquatmill.traffic.pause.StatedPause
@@ -67,6 +68,15 @@
         registry.counter("kumquatmill.worker.limits.stated", "kind", kind).increment()
     }
 
+    /** Counts the [load] that a response reports, by whether all its numbers of requests are legible, and by the speed if it states one. */
+    fun countReportedLoad(load: WorkerLoad?) {
+        if (load == null) return
+        val isComplete = load.running != null && load.waiting != null && load.slots != null
+        registry.counter("kumquatmill.worker.loads.reported", "kind", if (isComplete) "complete" else "partial").increment()
+        val speed = if ((load.servicePercent ?: return) > USUAL_SERVICE_PERCENT) "slow" else "usual"
+        registry.counter("kumquatmill.worker.speeds.reported", "kind", speed).increment()
+    }
+
     /** Counts a [change] of a worker's rate limit. */
     fun countWorkerLimitChange(change: WorkerLimitChange) =
         registry.counter("kumquatmill.worker.limits.changes", "kind", if (change.limitPerS == null) "lifted" else "set").increment()
@@ -140,5 +150,6 @@
         const val MIN_DURATION_MS = 4L
         const val MAX_DURATION_MS = 12_000L
         const val MILLIS_PER_SECOND = 1_000.0
+        const val USUAL_SERVICE_PERCENT = 100
     }
 }
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/AttemptResult.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/AttemptResult.kt
@@ -13,6 +13,10 @@
                 is Answered, is Unknown -> false
             }
 
+    /** Load that the worker reports with its response, or null if it reports none. */
+    val load: WorkerLoad?
+        get() = null
+
     /** What the worker's response states about the rate that it takes; only a response that can be trusted states anything. */
     val rateLimit: StatedRateLimit
         get() = StatedRateLimit.None
@@ -23,7 +27,7 @@
      */
     data class Answered(
         val status: Int,
-        val load: WorkerLoad?,
+        override val load: WorkerLoad?,
         override val rateLimit: StatedRateLimit = StatedRateLimit.None,
     ) : AttemptResult
 
@@ -43,7 +47,7 @@
 
     /** The worker shed the request: it has not executed it and never will. [load] is null if it did not report its load. */
     data class Shed(
-        val load: WorkerLoad?,
+        override val load: WorkerLoad?,
         override val rateLimit: StatedRateLimit = StatedRateLimit.None,
     ) : AttemptResult
 
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/AttemptResults.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/AttemptResults.kt
@@ -79,7 +79,9 @@
         worker: TrackedWorker,
         load: WorkerLoad?,
     ) {
-        load?.requests(worker.entry.slots)?.let { worker.onLoadReport(nowMs, it) }
+        if (load == null) return
+        load.requests(worker.entry.slots)?.let { worker.onLoadReport(nowMs, it) }
+        load.servicePercent?.let { worker.onSpeedReport(nowMs, it) }
     }
 
     /** Ends a request that a worker may have run, or sends it to another worker if its route is idempotent. */
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
@@ -92,8 +92,9 @@
         val serviceMs = max(1.0, durationMs - roundTripMs(worker))
         val expectedMs = serviceTimes.expectedMs(route, wasCached)
         val isComparable = hadFreeSlot && !worker.isCold(nowMs)
-        worker.onAnswered(nowMs, if (isComparable) serviceMs / expectedMs else null, serviceMs)
-        if (isComparable && serviceMs < expectedMs * OUTLIER_FACTOR) serviceTimes.observe(route, wasCached, serviceMs)
+        val usualMs = if (route.hasAffinity) serviceMs else worker.reportedSpeed.usualMs(nowMs, serviceMs, expectedMs)
+        worker.onAnswered(nowMs, if (isComparable) usualMs / expectedMs else null, usualMs)
+        if (isComparable && usualMs < expectedMs * OUTLIER_FACTOR) serviceTimes.observe(route, wasCached, usualMs)
     }
 
     /** Records that [worker] had not answered a request of [route] after [durationMs] milliseconds. */
@@ -118,8 +119,11 @@
     ): Candidate {
         val isCached = query.hasAffinityKey && (rank == 0 || worker.hasCached(query.affinityHash))
         val coldFactor = if (worker.isCold(nowMs)) settings.coldWorkerFactor else 1.0
-        val serviceMs = serviceTimes.expectedMs(query.route, isCached) * coldFactor * worker.slowdown(nowMs) + roundTripMs(worker)
-        val waitMs = worker.expectedWaitMs(nowMs)
+        // For requests with a key the difference between cached and uncached objects outweighs that of the reported speeds.
+        val usesReport = !query.hasAffinityKey
+        val waitMs = worker.expectedWaitMs(nowMs, usesReport)
+        val slowdown = worker.slowdown(nowMs, if (usesReport) nowMs + waitMs.toLong() else null)
+        val serviceMs = serviceTimes.expectedMs(query.route, isCached) * coldFactor * slowdown + roundTripMs(worker)
         val failureMs = worker.failureRatio(nowMs) * query.route.targetLatencyMs * FAILURE_COST_FACTOR
         val acceptsKey = isCached || !query.hasAffinityKey || worker.load(nowMs) < worker.entry.slots * settings.uncachedKeyMaxLoad
         return Candidate(worker, waitMs, serviceMs, waitMs + serviceMs + failureMs + rank * settings.rankPenaltyMs, acceptsKey)
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/PlacementSettings.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/PlacementSettings.kt
@@ -29,6 +29,11 @@
     val failuresToEject: Int = 3,
     /** How long a worker's load report is used to estimate the load from other hosts. */
     val loadReportTtlMs: Long = 1_500,
+    /**
+     * How long the speed that a worker reports is used, with falling weight; 0 ignores it. Workers that report their speed change it
+     * every 600 ms.
+     */
+    val reportedSpeedTtlMs: Long = 600,
     /**
      * Fraction of the time between the expected service time and the target latency that a request may wait, by priority rank
      * (highest priority first).
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/TrackedWorker.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/TrackedWorker.kt
@@ -57,6 +57,7 @@
         object : LinkedHashMap<Long, Unit>(settings.cachedKeysPerWorker, LOAD_FACTOR, true) {
             override fun removeEldestEntry(eldest: MutableMap.MutableEntry<Long, Unit>): Boolean = size > settings.cachedKeysPerWorker
         }
+    internal val reportedSpeed = ReportedSpeed(settings.reportedSpeedTtlMs)
     private var reportedLoad = LoadEstimate.NONE
     private var shedLoad = LoadEstimate.NONE
     private var smoothedSlowdown = 1.0
@@ -93,18 +94,31 @@
         return inFlight + otherHostsLoad
     }
 
-    /** Returns the expected time in the worker's queue in milliseconds. */
-    fun expectedWaitMs(nowMs: Long): Double {
+    /** Returns the expected time in the worker's queue in milliseconds; [usesReport] says whether the speed that it reports counts. */
+    fun expectedWaitMs(
+        nowMs: Long,
+        usesReport: Boolean = false,
+    ): Double {
         val ahead = load(nowMs) - entry.slots + 1
-        return if (ahead <= 0) 0.0 else ahead / entry.slots * meanServiceMs * slowdown(nowMs)
+        return if (ahead <= 0) 0.0 else ahead / entry.slots * meanServiceMs * slowdown(nowMs, if (usesReport) nowMs else null)
     }
 
-    /** Returns the ratio of the worker's service times to the expected ones, considering the age of its oldest unanswered request. */
-    fun slowdown(nowMs: Long): Double {
+    /**
+     * Returns the ratio of the worker's service times to the expected ones, considering the age of its oldest unanswered request and, if
+     * [startMs] is set, the speed that the worker reports, as far as it still holds then. These may be signs of the same slowdown, so the
+     * largest of them counts, not their product.
+     */
+    fun slowdown(
+        nowMs: Long,
+        startMs: Long? = null,
+    ): Double {
         val observed = 1.0 + (smoothedSlowdown - 1.0) * exp(-(nowMs - slowdownUpdatedAtMs) / DECAY_MS)
         val oldestMs = inFlightSentAtMs.firstOrNull()?.let { nowMs - it } ?: 0
         val slowdownByAge = if (meanServiceMs > 0) oldestMs / (meanServiceMs * SLOW_AGE_FACTOR) else 0.0
-        return max(observed, slowdownByAge).coerceIn(MIN_SLOWDOWN, MAX_SLOWDOWN)
+        val measured = max(observed, slowdownByAge)
+        val reported = if (startMs == null) 1.0 else reportedSpeed.factor(startMs)
+        // A report of the usual speed does not raise the estimate of a worker that was measured to be faster.
+        return (if (reported > 1.0) max(measured, reported) else measured).coerceIn(MIN_SLOWDOWN, MAX_SLOWDOWN)
     }
 
     /** Returns the fraction of this host's recent requests that the worker failed or shed. */
@@ -159,6 +173,12 @@
         shedLoad = LoadEstimate.NONE
     }
 
+    /** Records that work at the worker currently takes [servicePercent] percent of the usual time. */
+    internal fun onSpeedReport(
+        nowMs: Long,
+        servicePercent: Int,
+    ) = reportedSpeed.onReport(nowMs, servicePercent)
+
     /** Records that the worker shed a request, which means that it is full whatever load it reported. */
     internal fun onShed(nowMs: Long) {
         shedLoad = LoadEstimate(max(0L, entry.slots.toLong() - inFlight), nowMs)
