Never forward an answer with a status that no server may send

A status line with any three digits from 100 to 999 counted as one, and OkHttp also takes 000, 099, 101 and a negative number. Such an answer was forwarded to the caller. Statuses are now 100 to 599 on the wire and 200 to 599 in a complete response (ResponseHeadRules); anything else is AttemptResult.Unknown with doubt FRAMING, so a request that may be repeated goes to another worker and any other gets 502. A relayed answer that breaks the framing is doubted the same way.

Before the change, with the tests written first: a host forwarded 600 and 999 to its caller with these statuses, and to a peer as a worker's response; classifyResponse took any status, including 0, for an answer. 000, 099, 101, 102, 199, "200OK", "2000 OK", "200<tab>OK" and "-20" were refused by ResponseFraming already.

--- a/kumquatmill-common/src/main/kotlin/io/kumquatmill/common/http/ResponseHeadRules.kt
+++ b/kumquatmill-common/src/main/kotlin/io/kumquatmill/common/http/ResponseHeadRules.kt
@@ -8,7 +8,9 @@
  * either stands where no status line may stand, or contains characters that no header name has, or is found in a reason phrase or value.
  */
 object ResponseHeadRules {
-    private val statusLine = Regex("HTTP/1\\.[01] [1-9][0-9]{2}(?: (.*))?")
+    /** Statuses from 100 to 599, the only ones that a server may send. */
+    private val statusLine = Regex("HTTP/1\\.[01] [1-5][0-9]{2}(?: (.*))?")
+    private val finalStatuses = 200..599
     private val embeddedStatusLine = Regex("HTTP/1\\.[01] [1-9][0-9]{2}(?: |$)")
 
     /** Returns the status of the status [line], or null if it is none. */
@@ -18,6 +20,9 @@
         return status.takeIf { reasonFlaw(match.groupValues[1]) == null }
     }
 
+    /** Returns why [status] cannot be that of a complete response, or null if it can; statuses below 200 are those of interim responses. */
+    fun statusFlaw(status: Int): String? = if (status in finalStatuses) null else "$status is no status of a response"
+
     /** Returns why [reason] cannot be the reason phrase of one response, or null if it can. */
     fun reasonFlaw(reason: String): String? = textFlaw(reason) { "reason phrase" }
 
--- a/kumquatmill-daemon/src/test/kotlin/io/kumquatmill/daemon/forward/ForwarderTest.kt
+++ b/kumquatmill-daemon/src/test/kotlin/io/kumquatmill/daemon/forward/ForwarderTest.kt
@@ -140,6 +140,19 @@
     @Test
     fun `a response above the size limit is unknown`() = assertUnknown { it.response(body = "x".repeat(MAX_RESPONSE_BYTES + 1)) }
 
+    /** Guards against an answer that is forwarded with a status that no server may send. */
+    @Test
+    fun `a response with a status that no server may send is unknown and never stored`() {
+        val statuses = listOf("000 No", "099 No", "101 No", "102 No", "199 No", "600 No", "999 No", "200OK", "2000 OK", "200\tOK", "-20 No")
+        val forwarded =
+            statuses.filter { status ->
+                val worker = worker { it.response(status) }
+                val result = forwarderTo(worker.address).runAttempt(timeoutMs = SHORT_TIMEOUT_MS)
+                result !is AttemptResult.Unknown || lastPending.takeResponse(AttemptId(lastAttempt)) != null
+            }
+        assertEquals(emptyList(), forwarded)
+    }
+
     @Test
     fun `a late response is unknown and is not returned for the next request`() {
         val release = CountDownLatch(1)
@@ -250,6 +263,7 @@
 
     private companion object {
         const val TIMEOUT_MS = 5_000L
+        const val SHORT_TIMEOUT_MS = 500L
         const val FRESH_CONNECTION_MS = 1_000L
         const val CLOSE_DELAY_MS = 100L
         const val MAX_RESPONSE_BYTES = 10_000
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/ResponseClassification.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/ResponseClassification.kt
@@ -1,5 +1,6 @@
 package io.kumquatmill.gateway.caller
 
+import io.kumquatmill.common.http.ResponseHeadRules
 import io.kumquatmill.gateway.http.CallResult
 import io.kumquatmill.traffic.control.AnswerDoubt
 import io.kumquatmill.traffic.control.AttemptResult
@@ -27,9 +28,11 @@
     headerNames: HttpHeaderNames,
 ): AttemptResult {
     val proofs = response.headers.count(headerNames.workerProof)
+    val statusFlaw = ResponseHeadRules.statusFlaw(response.status)
     val flaw = identityFlaw(response, id, headerNames)
     val isRefusal = response.status == MISDIRECTED_REQUEST || response.header(headerNames.notExecuted) != null
     return when {
+        statusFlaw != null -> doubted(AnswerDoubt.FRAMING, statusFlaw)
         flaw != null -> doubted(AnswerDoubt.IDENTITY, flaw)
         proofs > 1 -> doubted(AnswerDoubt.PROOF, "the answer bears the proof of several answers")
         isRefusal -> classifyRefusal(response, hasProof = proofs > 0, headerNames)
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/relay/RelayResult.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/relay/RelayResult.kt
@@ -82,7 +82,8 @@
         ): RelayedCall =
             when (result) {
                 is CallResult.NotSent -> Ended(AttemptResult.RelayFailed("peer: ${result.detail}"))
-                is CallResult.Incomplete -> Ended(AttemptResult.Unknown("peer: ${result.detail}"))
+                is CallResult.Incomplete ->
+                    Ended(AttemptResult.Unknown("peer: ${result.detail}", doubt = AnswerDoubt.FRAMING.takeIf { result.isMalformed }))
                 is CallResult.Response -> ofResponse(result, id, idHeader)
             }
 
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/caller/ResponseClassificationTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/caller/ResponseClassificationTest.kt
@@ -82,6 +82,18 @@
         }
     }
 
+    /** Guards against an answer that is forwarded with a status that no server may send. */
+    @Test
+    fun `a response with a status that no server may send is not one answer`() {
+        val headers = mapOf("id" to "r-1", "proof" to "p")
+        listOf(0, 99, 100, 101, 102, 103, 199, 600, 700, 999, 1_000).forEach { status ->
+            listOf(headers, headers + ("not-run" to "full")).forEach {
+                val result = assertIs<AttemptResult.Unknown>(classify(status, it, isConnectionReused = false), "status $status")
+                assertEquals(AnswerDoubt.FRAMING, result.doubt, "status $status")
+            }
+        }
+    }
+
     @Test
     fun `a response with the proof of several says nothing`() {
         val headers = HeaderMap().put(HttpString("id"), "r-1").put(HttpString("proof"), "p").add(HttpString("proof"), "q")
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/relay/RelayedCallTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/relay/RelayedCallTest.kt
@@ -1,6 +1,7 @@
 package io.kumquatmill.gateway.relay
 
 import io.kumquatmill.gateway.http.CallResult
+import io.kumquatmill.traffic.control.AnswerDoubt
 import io.kumquatmill.traffic.control.AttemptResult
 import io.undertow.util.HeaderMap
 import io.undertow.util.HttpString
@@ -47,6 +48,14 @@
         assertEquals(shed, new.believed(shed))
     }
 
+    /** Guards against an answer of a peer whose bytes are not one response, such as one with a status that no server may send. */
+    @Test
+    fun `an answer of a peer that breaks the framing is doubted`() =
+        listOf(true to AnswerDoubt.FRAMING, false to null).forEach { (isMalformed, doubt) ->
+            val result = RelayedCall.of(CallResult.Incomplete("broken", isMalformed = isMalformed), "r-1", "Id")
+            assertEquals(doubt, assertIs<AttemptResult.Unknown>(ended(result)).doubt)
+        }
+
     @Test
     fun `a peer's word that it has not sent a request counts only for the request that it names`() {
         listOf("refused", "unreachable").forEach { result ->
