--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/capacity/PeerReportCost.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/capacity/PeerReportCost.kt
@@ -93,7 +93,7 @@
         val demanded = (0 until DEMANDED_WORKSPACES).map { workspaces[(index + it) % WORKSPACES] }
         return PeerReport(
             host = info.host,
-            incarnation = 1_765_000_000_000,
+            incarnation = INCARNATION_MS,
             sequence = 1,
             ip = info.ip,
             region = info.region,
@@ -142,6 +142,7 @@
         const val DEMANDED_WORKSPACES = 4
         const val SHARE_PER_MILLE = 30
         const val HOSTS_PER_NET = 250
+        const val INCARNATION_MS = 1_765_000_000_000
         const val TICK_MS = 1_000L
         const val WARM_UP_RUNS = 300
         const val RUNS = 300
