Bound the requests in flight from a host to one worker by its slots

Cause: a worker keeps waiting requests in memory and ends when that is exceeded. The wait that a request may have bounds them only once the service time is known, and `maxConnections` only where it is stated.

Change: a worker with 32 requests in flight from this host for each of its slots gets no more, as if it were full.

--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/PlacementSettings.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/PlacementSettings.kt
@@ -27,6 +27,12 @@
     val maxMisdirectedMs: Long = 8_000,
     /** Consecutive failures after which a worker is ejected even if its connections can be opened. */
     val failuresToEject: Int = 3,
+    /**
+     * Maximum number of requests in flight from this host to a worker, for each of its slots. A worker keeps waiting requests in memory
+     * and ends when that is exceeded. The waiting time that is allowed usually ends far below; this also bounds requests to workers whose
+     * service time is not known yet.
+     */
+    val maxInFlightPerSlot: Int = 32,
     /** How long a worker's load report is used to estimate the load from other hosts. */
     val loadReportTtlMs: Long = 1_500,
     /**
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/TrackedWorker.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/TrackedWorker.kt
@@ -78,7 +78,8 @@
         val isOnTrial = isMisdirected || consecutiveFailures >= settings.failuresToEject
         val isEjected = nowMs < ejectedUntilMs || nowMs < misdirectedUntilMs || (isOnTrial && inFlight > 0)
         val isWanted = !isLeaving && nowMs >= pausedUntilMs
-        return isWanted && !isEjected && inFlight < connectionLimit && hasColdCapacity(nowMs) && rateLimit.allows(nowMs)
+        val hasRoom = inFlight < connectionLimit && inFlight < entry.slots.toLong() * settings.maxInFlightPerSlot
+        return isWanted && !isEjected && hasRoom && hasColdCapacity(nowMs) && rateLimit.allows(nowMs)
     }
 
     /** Returns the time in milliseconds for which the worker is left out, because its address may belong to another worker. */
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/placement/PlacementTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/placement/PlacementTest.kt
@@ -199,6 +199,17 @@
         assertEquals(3, registry.workersOf(catalogueUpstream).single().connectionLimit)
     }
 
+    /** Guards against a worker that ends because requests wait there without a bound while its service time is not known. */
+    @Test
+    fun `a host has a bounded number of requests in flight to a worker`() {
+        updateWorkers(steeringState(listOf(worker("e1", slots = 2)), desiredState(maxConnections = 1_000)))
+        val worker = chooseWorker("k1")
+        repeat(2 * PlacementSettings().maxInFlightPerSlot - 1) { placement.onSent(WARM_MS, query("k1"), worker) }
+        assertTrue(worker.isAvailable(WARM_MS), "found ${worker.inFlight} in flight")
+        placement.onSent(WARM_MS, query("k1"), worker)
+        assertEquals(false, worker.isAvailable(WARM_MS), "found ${worker.inFlight} in flight")
+    }
+
     @Test
     fun `a restarted worker is assumed to have nothing cached`() {
         updateWorkers(listOf(worker("e1")))
@@ -208,4 +219,9 @@
         assertEquals(0, worker.inFlight)
         assertEquals(false, worker.hasCached(stableHash("k1")))
     }
+
+    private companion object {
+        /** No worker is cold any more at this time. */
+        const val WARM_MS = 1_000_000L
+    }
 }
