Share the loads of workers among the hosts of a region in large fleets

In a large fleet a host hears from each worker only now and then, and in between does not see the requests of the other hosts: it sends to workers whose queues are full. Reports now carry the loads that workers have reported to the host since its last report, for at most 16 workers, to hosts of the same region only and in fleets of more than 20 hosts (SharedLoads). A receiver uses a load as a report of its age, unless it knows a newer one; requests of its own that were at the worker then are not counted twice. It ages out in 1.5 s like any other.

The optional field takes 160 bytes for 16 workers (16, and 9 for each worker with fewer than 256 requests and an age of up to a second), and none if there are no loads.

New metric kumquatmill.worker.loads.shared.

--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/OverloadPolicy.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/OverloadPolicy.kt
@@ -18,6 +18,7 @@
         val noColdKeyLimit = OverloadPolicy("cold keys anywhere", PlacementSettings(uncachedKeyMaxLoad = 100.0))
 
         val noReportedSpeed = OverloadPolicy("no reported speed", PlacementSettings(reportedSpeedTtlMs = 0))
+        val noSharedLoads = OverloadPolicy("no shared loads", PlacementSettings(sharedLoadsPerReport = 0))
 
         /** The design, followed by the variants with one mechanism disabled. */
         val all =
@@ -30,6 +31,7 @@
                 noWaitLimit,
                 noColdKeyLimit,
                 noReportedSpeed,
+                noSharedLoads,
             )
     }
 }
--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/OverloadReplay.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/OverloadReplay.kt
@@ -89,7 +89,10 @@
                 sharesPerMille = from.controller.sharesPerMille(),
                 stalePeers = from.controller.stalePeers(time.nowMs),
             )
-        hosts.filter { it !== from }.forEach { it.controller.onReport(time.nowMs, report) }
+        val withLoads = report.copy(workerLoads = from.controller.workerLoads(time.nowMs))
+        hosts.filter { it !== from }.forEach { to ->
+            to.controller.onReport(time.nowMs, if (to.info.region == host.region) withLoads else report)
+        }
     }
 
     private fun scheduleNextRequest(
--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/Patterns.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/Patterns.kt
@@ -95,5 +95,11 @@
             }
         })
 
-    val all = listOf(unevenRegions, beyondCapacity, regionalBurst, wave, slowWorkers) + SpeedPatterns.all
+    /** Load beyond capacity and a burst in fleets in which each host hears from a worker only now and then. */
+    val largeFleets =
+        listOf(34, 98).flatMap { count ->
+            listOf(beyondCapacity, regionalBurst).map { it.copy(name = "${it.name}-$count", hostCount = count) }
+        }
+
+    val all = listOf(unevenRegions, beyondCapacity, regionalBurst, wave, slowWorkers) + largeFleets + SpeedPatterns.all
 }
--- a/kumquatmill-bench/src/test/kotlin/io/kumquatmill/bench/overload/OverloadReplayTest.kt
+++ b/kumquatmill-bench/src/test/kotlin/io/kumquatmill/bench/overload/OverloadReplayTest.kt
@@ -53,6 +53,16 @@
     fun `sending cold keys only to workers with spare slots keeps other keys warm`() =
         assertGain(Patterns.beyondCapacity, OverloadPolicy.noColdKeyLimit, minGain = 0.005) { it.warmFraction }
 
+    @Test
+    fun `hosts of a large fleet that share the loads of workers earn more benefit under overload`() =
+        assertGain(Patterns.largeFleets.first(), OverloadPolicy.noSharedLoads, minGain = 0.1) { it.earnedFraction }
+
+    @Test
+    fun `reported speeds earn more benefit for requests without a key, and cost the others none`() {
+        assertGain(SpeedPatterns.all.first(), OverloadPolicy.noReportedSpeed, minGain = 0.02) { it.earnedByCall.getValue("archive") }
+        assertGain(SpeedPatterns.all.first(), OverloadPolicy.noReportedSpeed, minGain = -0.005) { it.earnedByCall.getValue("verdict") }
+    }
+
     @Test
     fun `requests of the highest priority earn the most of their benefit under overload`() {
         val earned = seeds.map { OverloadReplay(Patterns.beyondCapacity, OverloadPolicy.design, it).run().earnedByCall }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
@@ -219,6 +219,7 @@
         controller.tick(nowMs)
         httpClient.closeExpiredConnections()
         metrics.setLimitedWorkers(controller.limitedWorkers)
+        metrics.setUsedSharedLoads(controller.usedSharedLoads)
         metrics.setQuarantinedRequests(controller.quarantinedRequests)
         stateUpdater.answerAgeMs(nowMs)?.let { metrics.setStoreAnswerAge(it) }
     }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
@@ -78,7 +78,9 @@
     private fun sendReport(
         report: PeerReport,
         peer: EntryHostInfo,
-    ) = send(report.copy(demandPerS = controller.demandFor(peer, report.demandPerS)), listOf(peer.ip))
+    ) = send(report.copy(demandPerS = controller.demandFor(peer, report.demandPerS)).withLoadsFor(peer), listOf(peer.ip))
+
+    private fun PeerReport.withLoadsFor(peer: EntryHostInfo) = if (peer.region == region) this else copy(workerLoads = emptyMap())
 
     private fun send(
         report: PeerReport,
@@ -107,6 +109,7 @@
                 stalePeers = controller.stalePeers(nowMs),
                 workerReachAgeMs = controller.workerReachAgeMs(nowMs),
                 isCutOff = controller.isCutOff,
+                workerLoads = controller.workerLoads(nowMs),
             )
         logContactChange(report.stalePeers, controller.isIsolated(nowMs))
         return report
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
@@ -10,6 +10,7 @@
 import io.kumquatmill.traffic.pause.StatedPause
 import io.kumquatmill.traffic.workerlimit.WorkerLimitChange
 import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.FunctionCounter
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
@@ -26,6 +27,7 @@
     private val connectionCounters =
         ConnectionNeed.entries.associateWith { registry.counter("kumquatmill.connections.needed", "reason", it.wireName) }
     private val limitedWorkers = AtomicInteger().also { registry.gauge("kumquatmill.worker.limits", it) }
+    private val usedSharedLoads = AtomicLong()
     private val quarantinedRequests = AtomicInteger().also { registry.gauge("kumquatmill.requests.quarantined", it) }
     private val cutOff = AtomicInteger().also { registry.gauge("kumquatmill.cut.off", it) }
     private val storeEra = AtomicLong().also { registry.gauge("kumquatmill.store.era", it) }
@@ -33,6 +35,7 @@
     private val durations = HashMap<String, Timer>()
 
     init {
+        FunctionCounter.builder("kumquatmill.worker.loads.shared", usedSharedLoads) { it.get().toDouble() }.register(registry)
         registry.gauge("kumquatmill.store.answer.age.seconds", storeAnswerAgeMs) { it.get() / MILLIS_PER_SECOND }
     }
 
@@ -84,6 +87,9 @@
     /** Sets the number of workers that take only a limited rate of requests. */
     fun setLimitedWorkers(count: Int) = limitedWorkers.set(count)
 
+    /** Sets the number of loads of workers that peers have reported and that this host has used since its start. */
+    fun setUsedSharedLoads(count: Long) = usedSharedLoads.set(count)
+
     /** Sets the number of requests that are not sent to workers, because workers ended when they ran them. */
     fun setQuarantinedRequests(count: Int) = quarantinedRequests.set(count)
 
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/ReportFrame.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/ReportFrame.kt
@@ -23,6 +23,7 @@
     @SerialName("e") val leavingWorkers: LeavingColumns? = null,
     @SerialName("o") val workerReachAgeMs: Long? = null,
     @SerialName("x") val isCutOff: Boolean = false,
+    @SerialName("u") val workerLoads: LoadColumns? = null,
 ) {
     /** Throws [IllegalArgumentException] if a time is negative. */
     fun toReport() =
@@ -44,6 +45,7 @@
             stalePeers = stalePeers,
             workerReachAgeMs = workerReachAgeMs?.also { require(it >= 0) { "negative time since a worker responded: $it" } },
             isCutOff = isCutOff,
+            workerLoads = workerLoads?.toLoads().orEmpty(),
         )
 
     companion object {
@@ -65,6 +67,7 @@
                 leavingWorkers = report.leavingWorkers.ifEmpty { null }?.let { LeavingColumns.of(it) },
                 workerReachAgeMs = report.workerReachAgeMs,
                 isCutOff = report.isCutOff,
+                workerLoads = report.workerLoads.ifEmpty { null }?.let { LoadColumns.of(it) },
             )
     }
 }
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/peer/PeerMessageCodecTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/peer/PeerMessageCodecTest.kt
@@ -4,6 +4,7 @@
 import io.kumquatmill.traffic.crash.CrashReport
 import io.kumquatmill.traffic.crash.RequestFingerprint
 import io.kumquatmill.traffic.fleet.PeerReport
+import io.kumquatmill.traffic.fleet.SharedLoad
 import io.kumquatmill.traffic.fleet.WorkerLimitObservation
 import io.kumquatmill.traffic.fleet.WorkerTag
 import io.kumquatmill.traffic.fleet.WorkspaceTag
@@ -18,6 +19,7 @@
 class PeerMessageCodecTest {
     private val alpha = WorkspaceTag.of(WorkspaceId("alpha"))
     private val leavingKey = byteArrayOf(0x61, 'e'.code.toByte(), 0xBF.toByte())
+    private val loadsKey = byteArrayOf(0x61, 'u'.code.toByte(), 0xBF.toByte())
     private val beta = WorkspaceTag.of(WorkspaceId("beta"))
 
     private fun report(workspaces: Int = 2) =
@@ -116,6 +118,34 @@
         listOf(isNegative, isShorter).forEach { assertFailsWith<MalformedPeerMessageException> { PeerMessageCodec.decode(it) } }
     }
 
+    @Test
+    fun `loads of workers are decoded as they were sent, and add at most ten bytes each`() {
+        val empty = PeerMessageCodec.encode(PeerMessage(report = report()))
+        assertEquals(-1, indexOf(empty, loadsKey), "a field that an earlier build does not send")
+        listOf(SharedLoad(90, 1_000), SharedLoad(0, 0), SharedLoad(Int.MAX_VALUE, Int.MAX_VALUE * 4L)).forEach { load ->
+            val sent = report().copy(workerLoads = (1..16).associate { WorkerTag(Int.MIN_VALUE + it) to load })
+            val bytes = PeerMessageCodec.encode(PeerMessage(report = sent))
+            assertEquals(sent, PeerMessageCodec.decode(bytes).report)
+            if (load.requests == 90) assertTrue(bytes.size - empty.size <= 160, "found ${bytes.size - empty.size} bytes for 16 workers")
+        }
+    }
+
+    @Test
+    fun `a report with a negative load or age of a worker, or with columns that differ in length, is malformed`() {
+        val sent = report(0).copy(workerLoads = mapOf(WorkerTag(7) to SharedLoad(9, 24)))
+        val bytes = PeerMessageCodec.encode(PeerMessage(report = sent))
+        listOf<Byte>(9, 6).forEach { number ->
+            val at = indexOf(bytes, byteArrayOf(0x9F.toByte(), number, 0xFF.toByte()))
+            assertTrue(at > 0, "expected the column in the encoded report")
+            val isNegative = bytes.copyOf().also { it[at + 1] = 0x20 }
+            val isShorter = bytes.copyOfRange(0, at + 1) + bytes.copyOfRange(at + 2, bytes.size)
+            listOf(isNegative, isShorter).forEach { assertFailsWith<MalformedPeerMessageException> { PeerMessageCodec.decode(it) } }
+        }
+        val at = indexOf(bytes, loadsKey)
+        val unknownKey = bytes.copyOf().also { it[at + 1] = '?'.code.toByte() }
+        assertEquals(report(0), PeerMessageCodec.decode(unknownKey).report, "as an earlier build reads it")
+    }
+
     private fun crashReport(crashes: Int = 2) =
         CrashReport(
             crashes = (1..crashes).map { CrashReport.Crash(RequestFingerprint(Long.MIN_VALUE + it), WorkerTag(-it), 86_400_000, 90) },
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/AttemptResults.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/AttemptResults.kt
@@ -5,6 +5,7 @@
 import io.kumquatmill.traffic.leaving.LeavingWorkers
 import io.kumquatmill.traffic.model.WorkerEntry
 import io.kumquatmill.traffic.placement.Placement
+import io.kumquatmill.traffic.placement.SharedLoads
 import io.kumquatmill.traffic.placement.TrackedWorker
 import io.kumquatmill.traffic.reach.RelayPeers
 import io.kumquatmill.traffic.reach.WorkerReach
@@ -23,6 +24,7 @@
     private val relays: RelayPeers,
     private val leaving: LeavingWorkers,
     private val nextAttempt: NextAttempt,
+    private val sharedLoads: SharedLoads,
     private val entryOf: (WorkerId) -> WorkerEntry?,
 ) {
     /** See [TrafficController.onResult]. */
@@ -80,7 +82,10 @@
         load: WorkerLoad?,
     ) {
         if (load == null) return
-        load.requests(worker.entry.slots)?.let { worker.onLoadReport(nowMs, it) }
+        load.requests(worker.entry.slots)?.let {
+            worker.onLoadReport(nowMs, it)
+            sharedLoads.onReported(nowMs, worker, it)
+        }
         load.servicePercent?.let { worker.onSpeedReport(nowMs, it) }
     }
 
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/FleetExchange.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/FleetExchange.kt
@@ -5,10 +5,12 @@
 import io.kumquatmill.traffic.fleet.EntryHostInfo
 import io.kumquatmill.traffic.fleet.FleetView
 import io.kumquatmill.traffic.fleet.PeerReport
+import io.kumquatmill.traffic.fleet.SharedLoad
 import io.kumquatmill.traffic.fleet.WorkerLimitObservation
 import io.kumquatmill.traffic.fleet.WorkerTag
 import io.kumquatmill.traffic.fleet.WorkspaceTag
 import io.kumquatmill.traffic.leaving.LeavingWorkers
+import io.kumquatmill.traffic.placement.SharedLoads
 import io.kumquatmill.traffic.ratelimit.LoanGrant
 import io.kumquatmill.traffic.ratelimit.LoanRequest
 import io.kumquatmill.traffic.ratelimit.WorkspaceRateLimiter
@@ -23,6 +25,7 @@
     private val crashingRequests: CrashingRequests,
     private val reach: WorkerReach,
     private val leaving: LeavingWorkers,
+    private val sharedLoads: SharedLoads,
 ) : PeerExchange {
     override fun updateHosts(
         nowMs: Long,
@@ -38,6 +41,7 @@
             workerLimits.onReport(nowMs, report)
             crashingRequests.onReport(nowMs, report)
             leaving.onReport(nowMs, report)
+            sharedLoads.onReport(nowMs, report)
         }
         return isApplied
     }
@@ -75,6 +79,8 @@
 
     override fun leavingWorkers(nowMs: Long): Map<WorkerTag, Long> = leaving.ownWords(nowMs)
 
+    override fun workerLoads(nowMs: Long): Map<WorkerTag, SharedLoad> = sharedLoads.ownLoads(nowMs)
+
     override fun stalePeers(nowMs: Long): List<String> = fleet.stalePeers(nowMs)
 
     override fun isIsolated(nowMs: Long): Boolean = fleet.isIsolated(nowMs)
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/PeerExchange.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/PeerExchange.kt
@@ -3,6 +3,7 @@
 import io.kumquatmill.traffic.crash.CrashReport
 import io.kumquatmill.traffic.fleet.EntryHostInfo
 import io.kumquatmill.traffic.fleet.PeerReport
+import io.kumquatmill.traffic.fleet.SharedLoad
 import io.kumquatmill.traffic.fleet.WorkerLimitObservation
 import io.kumquatmill.traffic.fleet.WorkerTag
 import io.kumquatmill.traffic.fleet.WorkspaceTag
@@ -69,6 +70,9 @@
     /** Returns the workers that have said to this host that they leave, with the time since then, to be reported to peers. */
     fun leavingWorkers(nowMs: Long): Map<WorkerTag, Long>
 
+    /** Returns the loads that workers have lately reported to this host, to be reported to peers of its own region. */
+    fun workerLoads(nowMs: Long): Map<WorkerTag, SharedLoad>
+
     /** Returns the names of the peers without a fresh report. */
     fun stalePeers(nowMs: Long): List<String>
 
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
@@ -17,6 +17,7 @@
 import io.kumquatmill.traffic.pause.StatedPause
 import io.kumquatmill.traffic.pause.WorkerPauses
 import io.kumquatmill.traffic.placement.Placement
+import io.kumquatmill.traffic.placement.SharedLoads
 import io.kumquatmill.traffic.placement.WorkerRegistry
 import io.kumquatmill.traffic.ratelimit.LoanRequest
 import io.kumquatmill.traffic.ratelimit.WorkspaceRateLimiter
@@ -46,7 +47,11 @@
             nextAttempt.next(nowMs, request, lastFailure = null)
         }
     private val results =
-        with(parts) { AttemptResults(placement, workerLimits, crashingRequests, reach, relays, leaving, nextAttempt) { state.workers[it] } }
+        with(parts) {
+            AttemptResults(placement, workerLimits, crashingRequests, reach, relays, leaving, nextAttempt, sharedLoads) {
+                state.workers[it]
+            }
+        }
 
     /**
      * @param sendLoanRequest sends a request for rate limit tokens to a peer
@@ -96,6 +101,10 @@
     val limitedWorkers: Int
         get() = parts.workerLimits.inForceCount
 
+    /** Number of loads of workers that peers have reported and that this host has used, since its start. */
+    val usedSharedLoads: Long
+        get() = parts.sharedLoads.usedCount
+
     /** Number of requests that are quarantined because workers ended when they ran them. */
     val quarantinedRequests: Int
         get() = parts.crashingRequests.quarantinedCount
@@ -279,7 +288,8 @@
         val crashingRequests = CrashingRequests(self.host, settings.crash, probeWorker, onCrashEvent)
         val reach = WorkerReach(settings.reach, random, probeWorker, ::onReachChanged)
         val relays = RelayPeers(settings.regionByZone[zone], settings.reach, random)
-        val exchange = FleetExchange(fleet, rateLimiter, workerLimits, crashingRequests, reach, leaving)
+        val sharedLoads = SharedLoads(self.region, fleet, workers, settings.placement)
+        val exchange = FleetExchange(fleet, rateLimiter, workerLimits, crashingRequests, reach, leaving, sharedLoads)
 
         private fun onReachChanged(change: ReachChange) {
             workers.forgetFailures()
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/PeerReport.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/PeerReport.kt
@@ -15,6 +15,7 @@
  * @property workerLimits the host's own observations of the rates that workers take
  * @property crashes what the host knows of requests under which workers have ended
  * @property leavingWorkers workers that have said to the host that they leave, with the time since then in milliseconds
+ * @property workerLoads loads that workers have lately reported to the host; sent to hosts of its own region only
  * @property stalePeers names of the peers without a fresh report
  * @property workerReachAgeMs time in milliseconds since a worker last responded to the host directly, or null if none has
  * @property isCutOff whether the host is cut off from all workers and sends requests through its peers
@@ -37,6 +38,7 @@
     val stalePeers: List<String> = emptyList(),
     val workerReachAgeMs: Long? = null,
     val isCutOff: Boolean = false,
+    val workerLoads: Map<WorkerTag, SharedLoad> = emptyMap(),
 ) {
     /** Record of the host that sent this report. */
     val sender: EntryHostInfo
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/PlacementSettings.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/PlacementSettings.kt
@@ -29,6 +29,10 @@
     val failuresToEject: Int = 3,
     /** How long a worker's load report is used to estimate the load from other hosts. */
     val loadReportTtlMs: Long = 1_500,
+    /** Maximum number of workers whose load a host tells the hosts of its region in one report; 0 tells none. */
+    val sharedLoadsPerReport: Int = 16,
+    /** Hosts tell each other the loads of workers only in larger fleets, as in smaller ones each host hears from a worker often enough. */
+    val minHostsToShareLoads: Int = 20,
     /**
      * How long the speed that a worker reports is used, with falling weight; 0 ignores it. Workers that report their speed change it
      * every 600 ms.
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/TrackedWorker.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/TrackedWorker.kt
@@ -2,6 +2,7 @@
 
 import io.kumquatmill.common.hash.stableHash
 import io.kumquatmill.limits.bucket.TokenBucket
+import io.kumquatmill.traffic.fleet.WorkerTag
 import io.kumquatmill.traffic.model.WorkerEntry
 import io.kumquatmill.traffic.workerlimit.WorkerRateLimit
 import kotlin.math.exp
@@ -24,6 +25,9 @@
     /** Hash of the name of the worker's availability zone. */
     val zoneHash: Long = stableHash(entry.availabilityZone.value)
 
+    /** Identifies the worker's process in reports between hosts. */
+    internal val tag: WorkerTag = WorkerTag.of(entry)
+
     /** Number of requests from this host that the worker has not answered yet. */
     var inFlight: Int = 0
         private set
@@ -173,6 +177,19 @@
         shedLoad = LoadEstimate.NONE
     }
 
+    /**
+     * Records that the worker reported a total of [requests] to a peer at [observedAtMs]; returns false if a newer report is known.
+     * Requests that this host has sent since are not part of it.
+     */
+    internal fun onSharedLoad(
+        observedAtMs: Long,
+        requests: Long,
+    ): Boolean {
+        if (observedAtMs <= reportedLoad.observedAtMs) return false
+        reportedLoad = LoadEstimate(max(0L, requests - inFlightSentAtMs.count { it < observedAtMs }), observedAtMs)
+        return true
+    }
+
     /** Records that work at the worker currently takes [servicePercent] percent of the usual time. */
     internal fun onSpeedReport(
         nowMs: Long,
@@ -240,7 +257,7 @@
     /** Number of requests from other hosts at one time, which counts less the older it is. */
     private class LoadEstimate(
         private val requests: Long,
-        private val observedAtMs: Long,
+        val observedAtMs: Long,
     ) {
         fun at(
             nowMs: Long,
@@ -248,7 +265,7 @@
         ): Double = requests * max(0.0, 1.0 - (nowMs - observedAtMs).toDouble() / ttlMs)
 
         companion object {
-            val NONE = LoadEstimate(requests = 0, observedAtMs = 0)
+            val NONE = LoadEstimate(requests = 0, observedAtMs = Long.MIN_VALUE)
         }
     }
 
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/WorkerRegistry.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/WorkerRegistry.kt
@@ -76,6 +76,9 @@
     fun workersOf(upstream: UpstreamId): List<TrackedWorker> =
         workersByUpstream[upstream].orEmpty().filter { it.entry.availabilityZone !in evacuatedZones }
 
+    /** Returns all known workers, also those in evacuated zones. */
+    internal fun all(): Collection<TrackedWorker> = workers.values
+
     /** Returns whether a peer has reported that [worker] leaves, so that others are preferred. */
     fun isToldLeaving(
         nowMs: Long,
