--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
@@ -229,6 +229,7 @@
         httpClient.closeExpiredConnections()
         callerHandler.tick()
         metrics.setLimitedWorkers(controller.limitedWorkers)
+        metrics.setUsedSharedLoads(controller.usedSharedLoads)
         metrics.setQuarantinedRequests(controller.quarantinedRequests)
         stateUpdater.answerAgeMs(nowMs)?.let { metrics.setStoreAnswerAge(it) }
     }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
@@ -77,6 +77,16 @@
     private fun sendReport(
         report: PeerReport,
         peers: List<EntryHostInfo>,
+    ) {
+        // Loads of workers concern the hosts of their region only.
+        val (near, far) = peers.partition { it.region == report.region }
+        sendByDemand(report, near)
+        sendByDemand(report.copy(workerLoads = emptyMap()), far)
+    }
+
+    private fun sendByDemand(
+        report: PeerReport,
+        peers: List<EntryHostInfo>,
     ) = controller.demandByPeer(peers, report.demandPerS).forEach { (demandPerS, receivers) ->
         send(report.copy(demandPerS = demandPerS), receivers.map { it.ip })
     }
@@ -111,6 +121,7 @@
                 cores = self.cores,
                 linkMbps = self.linkMbps,
                 memoryMb = self.memoryMb,
+                workerLoads = controller.workerLoads(nowMs),
             )
         logContactChange(report.stalePeers, controller.isIsolated(nowMs))
         return report
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/ReportFrame.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/ReportFrame.kt
@@ -26,6 +26,7 @@
     @SerialName("k") val cores: Double? = null,
     @SerialName("b") val linkMbps: Double? = null,
     @SerialName("m") val memoryMb: Double? = null,
+    @SerialName("u") val workerLoads: LoadColumns? = null,
 ) {
     /** Throws [IllegalArgumentException] if a time is negative. */
     fun toReport() =
@@ -50,6 +51,7 @@
             cores = cores,
             linkMbps = linkMbps,
             memoryMb = memoryMb,
+            workerLoads = workerLoads?.toLoads().orEmpty(),
         )
 
     companion object {
@@ -74,6 +76,7 @@
                 cores = report.cores,
                 linkMbps = report.linkMbps,
                 memoryMb = report.memoryMb,
+                workerLoads = report.workerLoads.ifEmpty { null }?.let { LoadColumns.of(it) },
             )
     }
 }
