Decide by cost which requests wait while capacity is scarce

A route with a long target latency fills the queues of its workers, so that no request of an urgent route with a short target can be on time there, although that one is worth more. Refused callers return after a Retry-After that ignores the time they have left.

CapacityAdmission lets a request wait only as long as more urgent requests to its upstream tolerate, serves late requests if they make no others late, and spreads the return of refused callers. It is on if the desired state has a bulk route; without one, requests carry no AdmissionRequest and Placement decides as before.

The gain is not measured yet.

--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/NextAttempt.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/NextAttempt.kt
@@ -1,6 +1,7 @@
 package io.kumquatmill.traffic.control
 
 import io.kumquatmill.common.id.RegionId
+import io.kumquatmill.traffic.admission.CapacityAdmission
 import io.kumquatmill.traffic.crash.CrashingRequests
 import io.kumquatmill.traffic.fleet.FleetView
 import io.kumquatmill.traffic.fleet.PeerReport
@@ -25,6 +26,7 @@
     private val crashingRequests: CrashingRequests,
     private val reach: WorkerReach,
     private val relays: RelayPeers,
+    private val capacity: CapacityAdmission,
 ) {
     private val retryBudget = RetryBudget(settings.retryRatio, settings.retryReserve, settings.retryWindowMs)
 
@@ -50,7 +52,9 @@
         if (query.timeLeftMs < MIN_TIME_LEFT_MS) {
             return lastFailure ?: refuse(nowMs, request, RefusalCause.TOO_LATE, retryAfterMs(nowMs, query))
         }
-        return when (val choice = placement.choose(nowMs, query)) {
+        val choice = placement.choose(nowMs, query)
+        recordDecision(nowMs, request, choice)
+        return when (choice) {
             is PlacementChoice.NoWorker -> lastFailure ?: refuse(nowMs, request, RefusalCause.NO_WORKER, NO_WORKER_RETRY_AFTER_MS)
             is PlacementChoice.NoCapacity -> lastFailure ?: refuse(nowMs, request, RefusalCause.NO_CAPACITY, choice.retryAfterMs)
             is PlacementChoice.Chosen ->
@@ -62,6 +66,20 @@
         }
     }
 
+    /** Records the decision of the admission by cost on a request that arrives; further attempts are no new demand. */
+    private fun recordDecision(
+        nowMs: Long,
+        request: TrafficRequest,
+        choice: PlacementChoice,
+    ) {
+        val byCost = request.admission?.takeIf { request.attempts == 0 } ?: return
+        when (choice) {
+            is PlacementChoice.Chosen -> capacity.onServed(nowMs, byCost, choice.serviceMs)
+            is PlacementChoice.NoCapacity -> capacity.onRefused(nowMs, byCost)
+            is PlacementChoice.NoWorker -> Unit
+        }
+    }
+
     /** Returns when to retry a request that was not refused for its workers; if they all want a pause, not before one of them ends. */
     private fun retryAfterMs(
         nowMs: Long,
@@ -143,6 +161,7 @@
         triedWorkers = request.triedWorkers,
         timeLeftMs = request.deadlineAtMs - nowMs,
         priorityRank = request.priorityRank,
+        admission = request.admission,
     )
 
     /** Returns the regions in which a request may be executed, or null for all; the restrictions of route and workspace both apply. */
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/RequestAdmission.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/RequestAdmission.kt
@@ -1,6 +1,7 @@
 package io.kumquatmill.traffic.control
 
 import io.kumquatmill.common.hash.stableHash
+import io.kumquatmill.traffic.admission.CapacityAdmission
 import io.kumquatmill.traffic.crash.CrashingRequests
 import io.kumquatmill.traffic.crash.RequestFingerprint
 import io.kumquatmill.traffic.model.DesiredState
@@ -19,6 +20,7 @@
 internal class RequestAdmission(
     private val rateLimiter: WorkspaceRateLimiter,
     private val crashingRequests: CrashingRequests,
+    private val capacity: CapacityAdmission,
     private val first: (nowMs: Long, request: TrafficRequest) -> RequestAction,
 ) {
     private val roundRobin = WeightedRoundRobin()
@@ -42,6 +44,7 @@
                 .distinct()
                 .sorted()
         rateLimiter.update(nowMs, desired.workspaces)
+        capacity.update(desired)
     }
 
     /** See [TrafficController.resolve]. */
@@ -76,6 +79,7 @@
         val upstream = roundRobin.next(route) ?: return null to RequestAction.Refuse(RefusalCause.NO_WORKER, NO_WORKER_RETRY_AFTER_MS)
         val timeoutMs = min(route.timeoutMs ?: Long.MAX_VALUE, deadlineMs ?: DEFAULT_DEADLINE_MS)
         val requestHash = stableHash(requestId)
+        val priorityRank = priorities.indexOf(route.priority).coerceAtLeast(0)
         val request =
             TrafficRequest(
                 route = route,
@@ -87,8 +91,9 @@
                 hasAffinityKey = affinityKey != null,
                 requestHash = requestHash,
                 isCallerRetry = deadlineMs != null && callerRetries.isRetry(route.id, deadlineMs),
-                priorityRank = priorities.indexOf(route.priority).coerceAtLeast(0),
+                priorityRank = priorityRank,
                 fingerprint = fingerprint,
+                admission = capacity.requestOf(nowMs, route, resolved.workspace, upstream, priorityRank, deadlineMs, requestHash),
             )
         return request to
             (if (decision is RateLimitDecision.Pending) waitForTokens(request, decision) else first(nowMs, request))
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
@@ -2,6 +2,7 @@
 
 import io.kumquatmill.common.id.AvailabilityZoneId
 import io.kumquatmill.common.id.WorkerId
+import io.kumquatmill.traffic.admission.CapacityAdmission
 import io.kumquatmill.traffic.crash.CrashEvent
 import io.kumquatmill.traffic.crash.CrashingRequests
 import io.kumquatmill.traffic.crash.ProbeResult
@@ -40,9 +41,9 @@
 ) : PeerExchange by parts.exchange {
     private var state = SteeringState.empty
     private val nextAttempt =
-        with(parts) { NextAttempt(settings, fleet, rateLimiter, placement, crashingRequests, reach, relays) }
+        with(parts) { NextAttempt(settings, fleet, rateLimiter, placement, crashingRequests, reach, relays, capacity) }
     private val admission =
-        RequestAdmission(parts.rateLimiter, parts.crashingRequests) { nowMs, request ->
+        RequestAdmission(parts.rateLimiter, parts.crashingRequests, parts.capacity) { nowMs, request ->
             nextAttempt.next(nowMs, request, lastFailure = null)
         }
     private val results =
@@ -202,6 +203,7 @@
         parts.crashingRequests.tick(nowMs)
         parts.leaving.tick(nowMs)
         parts.pauses.tick(nowMs)
+        parts.capacity.tick(nowMs)
         parts.reach.tick(nowMs, state.workers.values) { parts.fleet.reachingPeers(nowMs).map { it.ageMs } }
     }
 
@@ -275,7 +277,8 @@
         val pauses = WorkerPauses(settings.pause, onPauseChange)
         val workers =
             WorkerRegistry(self.host, settings.placement, workerLimits, settings.coldRateFactor, settings.coldRateSlack, leaving, pauses)
-        val placement = Placement(workers, settings.regionByZone, zone, settings.placement)
+        val capacity = CapacityAdmission(settings.admission.copy(maxWaitFractions = settings.placement.maxWaitFractions))
+        val placement = Placement(workers, settings.regionByZone, zone, settings.placement, capacity)
         val crashingRequests = CrashingRequests(self.host, settings.crash, probeWorker, onCrashEvent)
         val reach = WorkerReach(settings.reach, random, probeWorker, ::onReachChanged)
         val relays = RelayPeers(settings.regionByZone[zone], settings.reach, random)
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficRequest.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficRequest.kt
@@ -2,6 +2,8 @@
 
 import io.kumquatmill.common.id.UpstreamId
 import io.kumquatmill.common.id.WorkerId
+import io.kumquatmill.traffic.admission.AdmissionDecision
+import io.kumquatmill.traffic.admission.AdmissionRequest
 import io.kumquatmill.traffic.crash.RequestFingerprint
 import io.kumquatmill.traffic.model.TrafficRoute
 import io.kumquatmill.traffic.model.Workspace
@@ -26,7 +28,12 @@
     internal val isCallerRetry: Boolean,
     internal val priorityRank: Int,
     internal val fingerprint: RequestFingerprint,
+    internal val admission: AdmissionRequest? = null,
 ) {
+    /** Latest decision of the admission by cost, or null if that is off or has not decided. */
+    val admissionDecision: AdmissionDecision?
+        get() = admission?.decision
+
     /** Number of attempts so far. */
     var attempts: Int = 0
         internal set
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficSettings.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficSettings.kt
@@ -2,6 +2,7 @@
 
 import io.kumquatmill.common.id.AvailabilityZoneId
 import io.kumquatmill.common.id.RegionId
+import io.kumquatmill.traffic.admission.AdmissionSettings
 import io.kumquatmill.traffic.crash.CrashSettings
 import io.kumquatmill.traffic.fleet.FleetSettings
 import io.kumquatmill.traffic.leaving.LeavingSettings
@@ -36,4 +37,5 @@
     val reach: ReachSettings = ReachSettings(),
     val leaving: LeavingSettings = LeavingSettings(),
     val pause: PauseSettings = PauseSettings(),
+    val admission: AdmissionSettings = AdmissionSettings(),
 )
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/model/TrafficRoute.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/model/TrafficRoute.kt
@@ -14,6 +14,7 @@
  * @property maxAttempts maximum number of workers that may execute one request
  * @property priority priority of the requests; 0 is the highest
  * @property homeRegions regions in which a request may be executed; empty means all
+ * @property isBulk whether responses are large, so that a late one is still useful
  */
 data class TrafficRoute(
     val id: RouteId,
@@ -28,4 +29,5 @@
     val maxAttempts: Int,
     val priority: Int,
     val homeRegions: Set<RegionId>,
+    val isBulk: Boolean = false,
 )
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
@@ -4,6 +4,7 @@
 import io.kumquatmill.common.id.AvailabilityZoneId
 import io.kumquatmill.common.id.RegionId
 import io.kumquatmill.common.id.UpstreamId
+import io.kumquatmill.traffic.admission.CapacityAdmission
 import io.kumquatmill.traffic.model.TrafficRoute
 import kotlin.math.ln
 import kotlin.math.max
@@ -18,12 +19,14 @@
  * later. A request that would wait too long at every worker is refused before it occupies a queue.
  *
  * @param regionByZone region of each availability zone
+ * @param admission decides on requests that are admitted by cost
  */
 class Placement(
     private val workers: WorkerRegistry,
     private val regionByZone: Map<AvailabilityZoneId, RegionId>,
     ownZone: AvailabilityZoneId,
     private val settings: PlacementSettings = PlacementSettings(),
+    private val admission: CapacityAdmission = CapacityAdmission(),
 ) {
     private class Candidate(
         val worker: TrackedWorker,
@@ -134,6 +137,11 @@
         candidate: Candidate,
     ): Boolean {
         val serviceMs = if (serviceTimes.isKnown(query.route)) candidate.serviceMs * MIN_SERVICE_FRACTION else 0.0
+        val byCost = query.admission
+        if (byCost != null) {
+            val slots = candidate.worker.entry.slots
+            return admission.decide(byCost, candidate.waitMs, candidate.serviceMs, serviceMs, slots, query.timeLeftMs).isServed
+        }
         return candidate.waitMs <= maxWaitMs(query, candidate) && candidate.waitMs + serviceMs <= query.timeLeftMs
     }
 
@@ -194,7 +202,9 @@
         query: PlacementQuery,
         available: List<TrackedWorker>,
     ): PlacementChoice {
-        val shortestMs = max(MIN_RETRY_AFTER_MS, available.minOf { it.expectedWaitMs(nowMs) })
+        val waitMs = available.minOf { it.expectedWaitMs(nowMs) }
+        query.admission?.let { return PlacementChoice.NoCapacity(admission.retryAfterMs(it, waitMs, query.timeLeftMs)) }
+        val shortestMs = max(MIN_RETRY_AFTER_MS, waitMs)
         return PlacementChoice.NoCapacity(spread(query, shortestMs))
     }
 
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/PlacementQuery.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/PlacementQuery.kt
@@ -3,6 +3,7 @@
 import io.kumquatmill.common.id.RegionId
 import io.kumquatmill.common.id.UpstreamId
 import io.kumquatmill.common.id.WorkerId
+import io.kumquatmill.traffic.admission.AdmissionRequest
 import io.kumquatmill.traffic.model.TrafficRoute
 
 /**
@@ -16,6 +17,7 @@
  * @property triedWorkers workers to which the request was already sent
  * @property timeLeftMs time until the request's deadline in milliseconds
  * @property priorityRank rank of the route's priority; 0 is the highest
+ * @property admission the request as admission by cost sees it, or null if that is off
  */
 data class PlacementQuery(
     val route: TrafficRoute,
@@ -28,4 +30,5 @@
     val triedWorkers: Set<WorkerId>,
     val timeLeftMs: Long,
     val priorityRank: Int,
+    val admission: AdmissionRequest? = null,
 )
