Measure admission by cost on patterns like the two deployments, and use loads of whole zones

Admission takes the wait at a worker to be at least 0.85 of the mean that the workers of its zone report. Ranks follow the route, then the workspace.

--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/OverloadPolicy.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/OverloadPolicy.kt
@@ -1,5 +1,7 @@
 package io.kumquatmill.bench.overload
 
+import io.kumquatmill.traffic.admission.AdmissionMode
+import io.kumquatmill.traffic.admission.AdmissionSettings
 import io.kumquatmill.traffic.placement.PlacementSettings
 
 /** The design, with all its mechanisms or with one of them disabled. */
@@ -7,6 +9,7 @@
     val name: String,
     val placement: PlacementSettings = PlacementSettings(),
     val hasAffinityKeys: Boolean = true,
+    val admission: AdmissionSettings = AdmissionSettings(),
 ) {
     companion object {
         val design = OverloadPolicy("design")
@@ -17,7 +20,22 @@
         val noWaitLimit = OverloadPolicy("no wait limit", PlacementSettings(maxWaitFractions = listOf(100.0)))
         val noColdKeyLimit = OverloadPolicy("cold keys anywhere", PlacementSettings(uncachedKeyMaxLoad = 100.0))
 
+        val byTarget = OverloadPolicy("by target", admission = AdmissionSettings(AdmissionMode.BY_TARGET))
+
+        val ownWorkersOnly = OverloadPolicy("no zone waits", admission = AdmissionSettings(zoneWaitWeight = 0.0))
+
         /** The design, followed by the variants with one mechanism disabled. */
-        val all = listOf(design, noAffinityKeys, noRegionPreference, ownRegionOnly, oneCandidate, noWaitLimit, noColdKeyLimit)
+        val all =
+            listOf(
+                design,
+                noAffinityKeys,
+                noRegionPreference,
+                ownRegionOnly,
+                oneCandidate,
+                noWaitLimit,
+                noColdKeyLimit,
+                byTarget,
+                ownWorkersOnly,
+            )
     }
 }
--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/OverloadReplay.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/OverloadReplay.kt
@@ -7,6 +7,7 @@
 import io.kumquatmill.common.id.RouteId
 import io.kumquatmill.common.id.UpstreamId
 import io.kumquatmill.common.id.WorkerId
+import io.kumquatmill.common.id.WorkspaceId
 import io.kumquatmill.traffic.control.AttemptResult
 import io.kumquatmill.traffic.control.RequestAction
 import io.kumquatmill.traffic.control.RouteResolution
@@ -22,6 +23,7 @@
 import io.kumquatmill.traffic.model.Upstream
 import io.kumquatmill.traffic.model.WeightedUpstream
 import io.kumquatmill.traffic.model.WorkerEntry
+import io.kumquatmill.traffic.model.Workspace
 import kotlin.math.ln
 import kotlin.random.Random
 
@@ -44,7 +46,11 @@
     private val workerEntries = pattern.workersByZone.flatMap { (zone, count) -> (1..count).map { workerEntry("$zone-$it", zone) } }
     private val emulators = workerEntries.associate { it.id to createEmulator(it.id.value) }
     private val routeByProfile = pattern.requestProfiles.associateWith(::routeOf)
-    private val hosts = pattern.regionByZone.keys.flatMap { zone -> (1..pattern.hostsPerZone).map { createHost(zone, "$zone-host-$it") } }
+    private val hosts = createHosts()
+    private val workspaces =
+        pattern.workspacePriorities.mapIndexed { index, priority ->
+            Workspace(WorkspaceId("workspace-$index"), setOf("key-$index"), ratePerS = 0.0, burst = 0.0, priority, emptySet())
+        }
 
     /** Replays the whole pattern once. */
     fun run(): ReplayResult {
@@ -115,13 +121,22 @@
         private val startedAtMs = time.nowMs
         private val objectKey = "$zone/${profile.name}/${random.nextInt(profile.objectsPerZone)}"
         private val serviceTimeMs = profile.coldServiceTimeMs * (1 + SERVICE_TIME_SPREAD * (random.nextDouble() * 2 - 1))
+        private val slowFactor =
+            if (profile.slowFraction > 0 &&
+                random.nextDouble() < profile.slowFraction
+            ) {
+                RequestProfile.SLOW_FACTOR
+            } else {
+                1.0
+            }
+        private val workspace = if (workspaces.isEmpty()) null else workspaces.random(random)
         private val region = pattern.regionByZone.getValue(zone)
         private var retriesLeft = MAX_CALLER_RETRIES
 
         fun send() {
             val host = hosts.filter { it.info.region == region }.random(random)
             val id = random.nextLong().toString()
-            val resolution = RouteResolution.Resolved(routeByProfile.getValue(profile), workspace = null)
+            val resolution = RouteResolution.Resolved(routeByProfile.getValue(profile), workspace)
             val deadlineMs = profile.deadlineMs - (time.nowMs - startedAtMs)
             val (request, action) =
                 host.controller.begin(
@@ -181,7 +196,7 @@
             time.after(oneWayMs) {
                 val worker = emulators.getValue(target.id)
                 val cancel =
-                    worker.submit(objectKey, serviceTimeMs) { load ->
+                    worker.submit(objectKey, serviceTimeMs * slowFactor) { load ->
                         time.after(oneWayMs) { onResult(host, request, AttemptResult.Answered(OK, load)) }
                     }
                 if (cancel == null) {
@@ -226,10 +241,15 @@
         private fun finish(outcome: ReplayStatistics.Outcome) {
             if (isEnded) return
             isEnded = true
-            statistics.recordOutcome(zone, profile, outcome)
+            statistics.recordOutcome(zone, workspace?.priority, profile, outcome)
         }
     }
 
+    private fun createHosts(): List<Host> {
+        val zones = pattern.regionByZone.keys.toList()
+        return (0 until pattern.hosts).map { createHost(zones[it % zones.size], "${zones[it % zones.size]}-host-${it / zones.size + 1}") }
+    }
+
     private fun createHost(
         zone: String,
         name: String,
@@ -244,6 +264,7 @@
                 coldRateFactor = 1.5,
                 coldRateSlack = 8.0,
                 placement = policy.placement,
+                admission = policy.admission,
             )
         return Host(self, TrafficController(self, settings))
     }
@@ -279,13 +300,14 @@
             maxAttempts = 2,
             priority = profile.priority,
             homeRegions = emptySet(),
+            isBulk = profile.isBulk,
         )
 
     private fun desiredState() =
         DesiredState(
             version = 1,
             routes = routeByProfile.values.toList(),
-            workspaces = emptyList(),
+            workspaces = workspaces,
             isKeyRequired = false,
             upstreams = mapOf(upstream to Upstream(upstream, maxConnections = 400, coldMs = 0, coldRatePerS = 0.0)),
             maxBodyBytes = 1_000_000,
--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/ReplayStatistics.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/ReplayStatistics.kt
@@ -1,5 +1,6 @@
 package io.kumquatmill.bench.overload
 
+import java.util.TreeMap
 import kotlin.math.abs
 
 /** Collects the outcomes of requests and the regions in which they were executed. */
@@ -10,6 +11,10 @@
         var possible: Double = 0.0,
         var earned: Double = 0.0,
     ) {
+        private val outcomes = HashMap<Outcome, Int>()
+
+        fun fractionOf(outcome: Outcome): Double = (outcomes[outcome] ?: 0).toDouble() / outcomes.values.sum()
+
         val earnedFraction: Double
             get() = if (possible == 0.0) 1.0 else earned / possible
 
@@ -18,6 +23,7 @@
             outcome: Outcome,
         ) {
             possible += profile.benefit
+            outcomes.merge(outcome, 1, Int::plus)
             earned +=
                 if (outcome == Outcome.IN_TIME) {
                     profile.benefit
@@ -32,6 +38,7 @@
     private val byZone = HashMap<String, EarnedBenefit>()
     private val byProfile = HashMap<String, EarnedBenefit>()
     private val all = EarnedBenefit()
+    private val groups = TreeMap<String, EarnedBenefit>()
     private val outcomes = HashMap<Outcome, Int>()
     private val attemptsByWindow = HashMap<String, HashMap<Long, HashMap<String, Int>>>()
     private var localAttempts = 0
@@ -40,10 +47,14 @@
     /** Records the final outcome of a caller's request. */
     fun recordOutcome(
         zone: String,
+        workspacePriority: Int?,
         profile: RequestProfile,
         outcome: Outcome,
     ) {
         outcomes.merge(outcome, 1, Int::plus)
+        val groupNames =
+            listOfNotNull(workspacePriority?.let { "workspace priority $it" }, "route priority ${profile.priority}", "kind ${profile.name}")
+        groupNames.forEach { name -> groups.getOrPut(name) { EarnedBenefit() }.add(profile, outcome) }
         listOf(
             all,
             byZone.getOrPut(zone) {
@@ -82,16 +93,32 @@
             requests = requests,
             earnedFraction = all.earnedFraction,
             worstZoneEarnedFraction = byZone.values.minOf { it.earnedFraction },
+            worstKindEarnedFraction = byProfile.values.minOf { it.earnedFraction },
+            earnedByZone = byZone.mapValues { (_, benefit) -> benefit.earnedFraction },
             earnedByCall = byProfile.mapValues { (_, benefit) -> benefit.earnedFraction },
             inTimeFraction = fractionOf(Outcome.IN_TIME),
             refusedFraction = fractionOf(Outcome.REFUSED),
+            lateFraction = fractionOf(Outcome.LATE),
             failedFraction = fractionOf(Outcome.FAILED),
             warmFraction = workers.sumOf { it.warmRuns }.toDouble() / workers.sumOf { it.runs },
             localFraction = localAttempts.toDouble() / attempts,
+            groups = groups.map { (name, benefit) -> groupResult(name, benefit) },
             maxShiftedFraction = attemptsByWindow.values.maxOf(::maxShiftedFraction),
         )
     }
 
+    private fun groupResult(
+        name: String,
+        benefit: EarnedBenefit,
+    ) = GroupResult(
+        name = name,
+        earned = benefit.earned,
+        earnedFraction = benefit.earnedFraction,
+        refusedFraction = benefit.fractionOf(Outcome.REFUSED),
+        lateFraction = benefit.fractionOf(Outcome.LATE),
+        failedFraction = benefit.fractionOf(Outcome.FAILED),
+    )
+
     private fun maxShiftedFraction(windows: Map<Long, Map<String, Int>>): Double =
         windows.keys
             .filter { it + 1 in windows }
--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/RequestProfile.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/RequestProfile.kt
@@ -12,6 +12,8 @@
  * @property lateBenefit benefit of a later response
  * @property priority priority of the requests; 0 is the highest
  * @property isIdempotent whether a request may be executed more than once
+ * @property isBulk whether responses are large and still useful when late
+ * @property slowFraction fraction of the requests that take [SLOW_FACTOR] times as long
  */
 internal data class RequestProfile(
     val name: String,
@@ -24,4 +26,10 @@
     val lateBenefit: Double,
     val priority: Int,
     val isIdempotent: Boolean = true,
-)
+    val isBulk: Boolean = false,
+    val slowFraction: Double = 0.0,
+) {
+    companion object {
+        const val SLOW_FACTOR = 7.0
+    }
+}
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/admission/AdmissionRequest.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/admission/AdmissionRequest.kt
@@ -9,7 +9,6 @@
  * @property priorityRank rank of the route's priority among all routes; 0 is the highest
  * @property effectiveRank rank of the request's [EffectivePriorities]; 0 is the highest
  * @property elapsedMs estimated time in milliseconds since the caller's first attempt
- * @property spread number from 0 to 1 that differs between requests
  */
 class AdmissionRequest(
     val route: TrafficRoute,
@@ -17,7 +16,6 @@
     val priorityRank: Int,
     val effectiveRank: Int,
     val elapsedMs: Long,
-    val spread: Double,
 ) {
     /** Latest decision on the request, or null before the first. */
     var decision: AdmissionDecision? = null
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/admission/AdmissionSettings.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/admission/AdmissionSettings.kt
@@ -21,15 +21,15 @@
      */
     val maxWaitFractions: List<Double> = DEFAULT_MAX_WAIT_FRACTIONS,
     /** Reduction of the wait limit of a request if all other demand is more urgent; it is proportional to the more urgent part. */
-    val urgentDemandWeight: Double = 0.7,
-    /** Fraction of a rank's demand, in work, below which it is not held back for more urgent ranks. */
+    val urgentDemandWeight: Double = 0.5,
+    /** Fraction of a rank's demand, in work, below which it may wait as long as the more urgent routes tolerate. */
     val guaranteedFraction: Double = 0.25,
     /** Fraction of an upstream's demand, in work, that a route must have before others are held back for it. */
     val minRouteFraction: Double = 0.01,
     /** Time constant in milliseconds of the counts of demand and admitted work. */
     val smoothingMs: Double = 5_000.0,
-    /** Fraction of the time left to the deadline over which refused callers return. */
-    val retrySpreadFraction: Double = 0.4,
+    /** Fraction of the mean wait at the workers of a zone that is assumed for a worker whose own load is not known. */
+    val zoneWaitWeight: Double = 0.85,
 ) {
     private companion object {
         val DEFAULT_MAX_WAIT_FRACTIONS = listOf(0.9, 0.7, 0.5)
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/admission/CapacityAdmission.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/admission/CapacityAdmission.kt
@@ -1,9 +1,10 @@
 package io.kumquatmill.traffic.admission
 
-import io.kumquatmill.common.hash.combineHashes
+import io.kumquatmill.common.id.AvailabilityZoneId
 import io.kumquatmill.common.id.UpstreamId
 import io.kumquatmill.traffic.model.DesiredState
 import io.kumquatmill.traffic.model.TrafficRoute
+import io.kumquatmill.traffic.model.WorkerEntry
 import io.kumquatmill.traffic.model.Workspace
 import kotlin.math.max
 import kotlin.math.min
@@ -21,7 +22,9 @@
     private val settings: AdmissionSettings = AdmissionSettings(),
 ) {
     private val elapsedTimes = ElapsedTimes()
+    private val observedWaits = ObservedWaits()
     private val demandByUpstream = HashMap<UpstreamId, UpstreamDemand>()
+    private var tickedAtMs = 0L
     private var priorities: EffectivePriorities? = null
 
     /** Applies a new [desired] state, which may switch decisions by cost on or off. */
@@ -34,6 +37,7 @@
             }
         priorities = if (isActive) EffectivePriorities(desired) else null
         demandByUpstream.clear()
+        observedWaits.clear()
         elapsedTimes.retain(desired.routes.mapTo(HashSet()) { it.id })
     }
 
@@ -41,7 +45,6 @@
      * Returns the request of [route] and [workspace] to decide on, or null if decisions by cost are off.
      *
      * @param deadlineMs time in milliseconds that the caller still waits, or null if it states none
-     * @param requestHash hash that differs between requests
      */
     fun requestOf(
         nowMs: Long,
@@ -50,7 +53,6 @@
         upstream: UpstreamId,
         priorityRank: Int,
         deadlineMs: Long?,
-        requestHash: Long,
     ): AdmissionRequest? {
         val priorities = this.priorities ?: return null
         return AdmissionRequest(
@@ -59,14 +61,14 @@
             priorityRank = priorityRank,
             effectiveRank = priorities.rankOf(route, workspace),
             elapsedMs = if (deadlineMs == null) 0 else elapsedTimes.elapsedMs(nowMs, route.id, deadlineMs),
-            spread = (combineHashes(requestHash, SPREAD_SALT) ushr HASH_SHIFT) / HASH_RANGE,
         )
     }
 
     /**
      * Decides on [request] at a worker.
      *
-     * @param waitMs expected time in the worker's queue
+     * @param zone availability zone of the worker
+     * @param waitMs expected time in the queue, as far as this host knows the worker's load
      * @param serviceMs expected service time including the network
      * @param minServiceMs shortest likely service time; 0 if nothing is known of it
      * @param slots requests that the worker executes concurrently
@@ -74,6 +76,7 @@
      */
     fun decide(
         request: AdmissionRequest,
+        zone: AvailabilityZoneId,
         waitMs: Double,
         serviceMs: Double,
         minServiceMs: Double,
@@ -82,18 +85,19 @@
     ): AdmissionDecision {
         val demand = demandByUpstream[request.upstream]
         val rank = request.effectiveRank
+        val queueMs = max(waitMs, settings.zoneWaitWeight * observedWaits.waitMs(tickedAtMs, request.upstream, zone))
         val toleranceMs = toleranceMs(request, serviceMs)
-        val isFree = waitMs <= 0
+        val isFree = queueMs <= 0
         return when {
-            waitMs + minServiceMs > timeLeftMs -> AdmissionDecision.PAST_DEADLINE
+            queueMs + minServiceMs > timeLeftMs -> AdmissionDecision.PAST_DEADLINE
             isLate(request, serviceMs) ->
-                if (isFree || demand == null || waitMs + serviceMs / slots <= demand.lateLimitMs(rank)) {
+                if (isFree || demand == null || queueMs + serviceMs / slots <= demand.lateLimitMs(rank)) {
                     AdmissionDecision.LATE
                 } else {
                     AdmissionDecision.LATE_DELAYS_OTHERS
                 }
-            waitMs > toleranceMs -> AdmissionDecision.WAIT_TOO_LONG
-            isFree || demand == null || waitMs <= demand.limitMs(rank) || demand.isBelowGuarantee(rank) -> AdmissionDecision.ON_TIME
+            queueMs > toleranceMs -> AdmissionDecision.WAIT_TOO_LONG
+            isFree || demand == null || queueMs <= demand.limitMs(rank) -> AdmissionDecision.ON_TIME
             else -> AdmissionDecision.YIELDS_TO_URGENT
         }.also {
             request.decision = it
@@ -107,6 +111,7 @@
         request: AdmissionRequest,
         serviceMs: Double,
     ) {
+        observedWaits.onServed(request.upstream, serviceMs)
         request.decision = if (isLate(request, serviceMs)) AdmissionDecision.LATE else AdmissionDecision.ON_TIME
         record(nowMs, request, serviceMs, isServed = true)
     }
@@ -132,20 +137,19 @@
     }
 
     /** Computes the limits again; must be called several times per second. */
-    fun tick(nowMs: Long) = demandByUpstream.values.forEach { it.tick(nowMs) }
+    fun tick(nowMs: Long) {
+        tickedAtMs = nowMs
+        demandByUpstream.values.forEach { it.tick(nowMs) }
+    }
 
-    /**
-     * Returns the time in milliseconds after which the caller of the refused [request] is to retry. The answer will be late whenever it
-     * comes before the deadline, so callers return over the time that is left, and not before a queue of [waitMs] has drained.
-     */
-    fun retryAfterMs(
-        request: AdmissionRequest,
-        waitMs: Double,
-        timeLeftMs: Long,
-    ): Long {
-        val earliestMs = max(MIN_RETRY_AFTER_MS, waitMs)
-        val latestMs = max(earliestMs * 2, timeLeftMs * settings.retrySpreadFraction)
-        return (earliestMs + (latestMs - earliestMs) * request.spread).toLong()
+    /** Records that the worker of [entry] reported [running] and [waiting] requests. */
+    fun onLoad(
+        nowMs: Long,
+        entry: WorkerEntry,
+        running: Int,
+        waiting: Int,
+    ) {
+        if (priorities != null) observedWaits.onLoad(nowMs, entry.upstream, entry.availabilityZone, running, waiting, entry.slots)
     }
 
     private fun isLate(
@@ -160,12 +164,4 @@
         val fraction = settings.maxWaitFractions[min(request.priorityRank, settings.maxWaitFractions.lastIndex)]
         return max(0.0, request.route.targetLatencyMs - request.elapsedMs - serviceMs) * fraction
     }
-
-    private companion object {
-        /** A slot becomes free within about the service time of a request; an earlier retry would meet the same queue. */
-        const val MIN_RETRY_AFTER_MS = 300.0
-        const val SPREAD_SALT = 0x6A09E667F3BCC909L
-        const val HASH_SHIFT = 11
-        const val HASH_RANGE = 9.007199254740992E15
-    }
 }
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/admission/EffectivePriorities.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/admission/EffectivePriorities.kt
@@ -6,13 +6,12 @@
 import kotlin.math.min
 
 /**
- * Ranks of requests by the priorities of their route and workspace; rank 0 is the most urgent.
+ * Ranks of requests by the priority of their route, then by that of their workspace; rank 0 is the most urgent.
  *
  * A request without a workspace counts as one of the most common workspace priority.
  */
 class EffectivePriorities(
     desired: DesiredState,
-    private val isWorkspaceFirst: Boolean = true,
 ) {
     private val workspaceLevels =
         desired.workspaces
@@ -46,7 +45,7 @@
     ): Int {
         val ofWorkspace = levelOf(workspaceLevels, workspace?.priority ?: defaultPriority)
         val ofRoute = levelOf(routeLevels, route.priority)
-        return if (isWorkspaceFirst) ofWorkspace * routeLevelCount + ofRoute else ofRoute * workspaceLevelCount + ofWorkspace
+        return ofRoute * workspaceLevelCount + ofWorkspace
     }
 
     private fun levelOf(
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/admission/UpstreamDemand.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/admission/UpstreamDemand.kt
@@ -23,6 +23,7 @@
     private val admittedMs = DoubleArray(ranks)
     private val routes = List(ranks) { HashMap<RouteId, RouteDemand>() }
     private val limitsMs = DoubleArray(ranks) { Double.MAX_VALUE }
+    private val guaranteedLimitsMs = DoubleArray(ranks) { Double.MAX_VALUE }
     private val lateLimitsMs = DoubleArray(ranks) { Double.MAX_VALUE }
     private var decayedAtMs = 0L
 
@@ -43,13 +44,13 @@
     }
 
     /** Returns whether requests of [rank] get less than the guaranteed fraction of what they demand. */
-    fun isBelowGuarantee(rank: Int): Boolean {
-        val index = min(rank, ranks - 1)
-        return admittedMs[index] < demandMs[index] * settings.guaranteedFraction
-    }
+    private fun isBelowGuarantee(rank: Int): Boolean = admittedMs[rank] < demandMs[rank] * settings.guaranteedFraction
 
     /** Returns the wait in milliseconds beyond which requests of [rank] that can be on time yield to more urgent ones. */
-    fun limitMs(rank: Int): Double = limitsMs[min(rank, ranks - 1)]
+    fun limitMs(rank: Int): Double {
+        val index = min(rank, ranks - 1)
+        return if (isBelowGuarantee(index)) guaranteedLimitsMs[index] else limitsMs[index]
+    }
 
     /** Returns the wait in milliseconds that a request of [rank] that will be late may cause. */
     fun lateLimitMs(rank: Int): Double = lateLimitsMs[min(rank, ranks - 1)]
@@ -72,6 +73,7 @@
         var moreUrgentMs = 0.0
         var toleratedMs = Double.MAX_VALUE
         for (rank in 0 until ranks) {
+            guaranteedLimitsMs[rank] = toleratedMs
             limitsMs[rank] =
                 if (toleratedMs == Double.MAX_VALUE) {
                     Double.MAX_VALUE
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/AttemptResults.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/AttemptResults.kt
@@ -1,6 +1,7 @@
 package io.kumquatmill.traffic.control
 
 import io.kumquatmill.common.id.WorkerId
+import io.kumquatmill.traffic.admission.CapacityAdmission
 import io.kumquatmill.traffic.crash.CrashingRequests
 import io.kumquatmill.traffic.leaving.LeavingWorkers
 import io.kumquatmill.traffic.model.WorkerEntry
@@ -23,6 +24,7 @@
     private val relays: RelayPeers,
     private val leaving: LeavingWorkers,
     private val nextAttempt: NextAttempt,
+    private val capacity: CapacityAdmission,
     private val entryOf: (WorkerId) -> WorkerEntry?,
 ) {
     /** See [TrafficController.onResult]. */
@@ -45,11 +47,11 @@
         if (result is AttemptResult.Answered || result is AttemptResult.Shed) leaving.onAnswered(nowMs, attempt.sentAtMs, worker.entry)
         return when (result) {
             is AttemptResult.Answered -> {
-                result.load?.let { worker.onLoadReport(nowMs, it.running, it.waiting) }
+                result.load?.let { onLoad(nowMs, worker, it) }
                 onAnswered(nowMs, request, attempt, result.status)
             }
             is AttemptResult.Shed -> {
-                result.load?.let { worker.onLoadReport(nowMs, it.running, it.waiting) }
+                result.load?.let { onLoad(nowMs, worker, it) }
                 worker.onShed(nowMs)
                 retryUnexecuted(nowMs, request, isBudgetExempt = false)
             }
@@ -74,6 +76,15 @@
         }
     }
 
+    private fun onLoad(
+        nowMs: Long,
+        worker: TrackedWorker,
+        load: WorkerLoad,
+    ) {
+        worker.onLoadReport(nowMs, load.running, load.waiting)
+        capacity.onLoad(nowMs, worker.entry, load.running, load.waiting)
+    }
+
     /** Ends a request that a worker may have run, or sends it to another worker if its route is idempotent. */
     private fun onUnknown(
         nowMs: Long,
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/RequestAdmission.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/RequestAdmission.kt
@@ -93,7 +93,7 @@
                 isCallerRetry = deadlineMs != null && callerRetries.isRetry(route.id, deadlineMs),
                 priorityRank = priorityRank,
                 fingerprint = fingerprint,
-                admission = capacity.requestOf(nowMs, route, resolved.workspace, upstream, priorityRank, deadlineMs, requestHash),
+                admission = capacity.requestOf(nowMs, route, resolved.workspace, upstream, priorityRank, deadlineMs),
             )
         return request to
             (if (decision is RateLimitDecision.Pending) waitForTokens(request, decision) else first(nowMs, request))
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
@@ -47,7 +47,9 @@
             nextAttempt.next(nowMs, request, lastFailure = null)
         }
     private val results =
-        with(parts) { AttemptResults(placement, workerLimits, crashingRequests, reach, relays, leaving, nextAttempt) { state.workers[it] } }
+        with(parts) {
+            AttemptResults(placement, workerLimits, crashingRequests, reach, relays, leaving, nextAttempt, capacity) { state.workers[it] }
+        }
 
     /**
      * @param sendLoanRequest sends a request for rate limit tokens to a peer
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
@@ -139,8 +139,10 @@
         val serviceMs = if (serviceTimes.isKnown(query.route)) candidate.serviceMs * MIN_SERVICE_FRACTION else 0.0
         val byCost = query.admission
         if (byCost != null) {
-            val slots = candidate.worker.entry.slots
-            return admission.decide(byCost, candidate.waitMs, candidate.serviceMs, serviceMs, slots, query.timeLeftMs).isServed
+            val entry = candidate.worker.entry
+            return admission
+                .decide(byCost, entry.availabilityZone, candidate.waitMs, candidate.serviceMs, serviceMs, entry.slots, query.timeLeftMs)
+                .isServed
         }
         return candidate.waitMs <= maxWaitMs(query, candidate) && candidate.waitMs + serviceMs <= query.timeLeftMs
     }
@@ -202,9 +204,7 @@
         query: PlacementQuery,
         available: List<TrackedWorker>,
     ): PlacementChoice {
-        val waitMs = available.minOf { it.expectedWaitMs(nowMs) }
-        query.admission?.let { return PlacementChoice.NoCapacity(admission.retryAfterMs(it, waitMs, query.timeLeftMs)) }
-        val shortestMs = max(MIN_RETRY_AFTER_MS, waitMs)
+        val shortestMs = max(MIN_RETRY_AFTER_MS, available.minOf { it.expectedWaitMs(nowMs) })
         return PlacementChoice.NoCapacity(spread(query, shortestMs))
     }
 
