Set, log and count how admission decides

Operators could not choose the way of admission, and no log line or metric said why a request was refused or served late.

The optional settings section [overload] has the key admission (auto, by-cost, by-target); the line of a finished request has the field admission, and kumquatmill_admissions_total counts decisions.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
@@ -244,6 +244,7 @@
         val durationMs = clock.nowMs() - arrivedAtMs
         context.log.requestFinished(identity, resolved, trafficRequest, status, outcome, durationMs, controller.version)
         context.metrics.countRequest(resolved.route.id.value, outcome)
+        trafficRequest?.admissionDecision?.let(context.metrics::countAdmission)
         context.metrics.recordDuration(outcome, durationMs)
         if (isCallerDisconnected) return
         disconnectWatch.stop()
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/RequestLog.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/RequestLog.kt
@@ -129,6 +129,7 @@
         .addKeyValue("upstream", request?.upstream)
         .addKeyValue("workers", request?.workers)
         .addKeyValue("attempts", request?.attempts ?: 0)
+        .addKeyValue("admission", request?.admissionDecision?.wireName ?: "none")
         .addKeyValue("status", status)
         .addKeyValue("outcome", outcome)
         .addKeyValue("tookMs", durationMs)
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
@@ -2,6 +2,7 @@
 
 import io.kumquatmill.gateway.http.ConnectionNeed
 import io.kumquatmill.gateway.log.resultName
+import io.kumquatmill.traffic.admission.AdmissionDecision
 import io.kumquatmill.traffic.control.AttemptResult
 import io.kumquatmill.traffic.control.StatedRateLimit
 import io.kumquatmill.traffic.crash.CrashEvent
@@ -53,6 +54,9 @@
         registry.counter("kumquatmill.answers.doubted", "reason", doubt.wireName).increment()
     }
 
+    /** Counts a finished request by the [decision] of the admission by cost. */
+    fun countAdmission(decision: AdmissionDecision) = registry.counter("kumquatmill.admissions", "decision", decision.wireName).increment()
+
     /** Counts a call to a worker, peer or the store that needs a new connection, by the reason. */
     fun countConnection(need: ConnectionNeed) = connectionCounters.getValue(need).increment()
 
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/settings/GatewaySettingsLoader.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/settings/GatewaySettingsLoader.kt
@@ -12,6 +12,8 @@
 import io.kumquatmill.settings.ini.readIni
 import io.kumquatmill.settings.section.SectionReader
 import io.kumquatmill.settings.section.SettingsErrorCollector
+import io.kumquatmill.traffic.admission.AdmissionMode
+import io.kumquatmill.traffic.admission.AdmissionSettings
 import io.kumquatmill.traffic.control.TrafficSettings
 import io.kumquatmill.traffic.fleet.EntryHostInfo
 import java.nio.file.Path
@@ -19,7 +21,9 @@
 
 private const val ZONES_SECTION = "availability-zones"
 private const val MILLIS_PER_SECOND = 1_000L
-private val sectionNames = setOf("host", "listen", "peers", "store", "directory", "stop", "log", "retries", "cold-workers", ZONES_SECTION)
+private val sectionNames =
+    setOf("host", "listen", "peers", "store", "directory", "stop", "log", "retries", "cold-workers", "overload", ZONES_SECTION)
+private val admissionModes = AdmissionMode.entries.associateBy { it.name.lowercase().replace('_', '-') }
 private val logLevels = listOf("debug", "info", "warn", "error").associateWith { it }
 
 /** Reads and validates the INI file [file] of an entry host. Returns all errors that were found, not only the first one. */
@@ -131,6 +135,12 @@
             retryWindowMs = retries.third,
             coldRateFactor = cold.first,
             coldRateSlack = cold.second,
+            admission =
+                section("overload") {
+                    AdmissionSettings(
+                        choice("admission", admissionModes, AdmissionMode.AUTO) ?: AdmissionMode.AUTO,
+                    )
+                },
         )
     }
 
