--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/OverloadPolicy.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/OverloadPolicy.kt
@@ -22,6 +22,7 @@
 
         val byTarget = OverloadPolicy("by target", admission = AdmissionSettings(AdmissionMode.BY_TARGET))
 
+        val byCost = OverloadPolicy("by cost", admission = AdmissionSettings(AdmissionMode.BY_COST))
         val ownWorkersOnly = OverloadPolicy("no zone waits", admission = AdmissionSettings(zoneWaitWeight = 0.0))
 
         /** The design, followed by the variants with one mechanism disabled. */
--- a/kumquatmill-bench/src/test/kotlin/io/kumquatmill/bench/overload/OverloadReplayTest.kt
+++ b/kumquatmill-bench/src/test/kotlin/io/kumquatmill/bench/overload/OverloadReplayTest.kt
@@ -77,6 +77,32 @@
         }
     }
 
+    /** Guards against admission that earns more in total by starving a zone, a kind of request or the workspaces of a priority. */
+    @Test
+    fun `admission by cost earns more in total, and nobody pays for it with more than the stated amount`() =
+        listOf(ScarcityPatterns.lectures(7), ScarcityPatterns.lectures(34), ScarcityPatterns.photos(34)).forEach { pattern ->
+            val with = seeds.map { OverloadReplay(pattern, OverloadPolicy.design, it).run() }
+            val without = seeds.map { OverloadReplay(pattern, OverloadPolicy.byTarget, it).run() }
+            val gain = with.map { it.earnedFraction }.average() - without.map { it.earnedFraction }.average()
+            assertTrue(gain >= MIN_ADMISSION_GAIN, "${pattern.name}: expected a gain of $MIN_ADMISSION_GAIN, found $gain")
+            assertNoGroupLoses(pattern, without, with, MAX_ZONE_LOSS) { it.earnedByZone }
+            assertNoGroupLoses(pattern, without, with, MAX_KIND_LOSS) { it.earnedByCall }
+            assertNoGroupLoses(pattern, without, with, MAX_ZONE_LOSS) { result ->
+                result.groups.filter { it.name.startsWith("workspace") }.associate { it.name to it.earnedFraction }
+            }
+        }
+
+    private fun assertNoGroupLoses(
+        pattern: LoadPattern,
+        without: List<ReplayResult>,
+        with: List<ReplayResult>,
+        maxLoss: Double,
+        earned: (ReplayResult) -> Map<String, Double>,
+    ) = earned(with.first()).keys.forEach { group ->
+        val loss = without.map { earned(it).getValue(group) }.average() - with.map { earned(it).getValue(group) }.average()
+        assertTrue(loss <= maxLoss, "${pattern.name}: expected $group to lose at most $maxLoss, found $loss")
+    }
+
     @Test
     fun `replays with the same seed are equal`() {
         val first = OverloadReplay(Patterns.regionalBurst, OverloadPolicy.design, 7).run()
@@ -88,6 +114,15 @@
         /** Maximum fraction of a region's requests that may move to other regions between two 2 s windows, as in both deployments. */
         const val MAX_SHIFTED_FRACTION = 0.15
 
+        /** The aim of admission by cost is a gain that callers notice, more than the differences between seeds. */
+        const val MIN_ADMISSION_GAIN = 0.05
+
+        /** No zone and no workspace priority is to pay for the others; this much is a difference between seeds. */
+        const val MAX_ZONE_LOSS = 0.01
+
+        /** The least urgent kind yields to others, by at most a quarter of the value that its requests can earn. */
+        const val MAX_KIND_LOSS = 0.25
+
         /** Lower-priority requests may earn up to this much more of their benefit without counting as preferred. */
         const val PRIORITY_TOLERANCE = 0.15
     }
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/admission/AdmissionRequest.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/admission/AdmissionRequest.kt
@@ -23,4 +23,7 @@
 
     /** Shortest service time in milliseconds at the workers that were considered, or null if there was none. */
     internal var serviceMs: Double? = null
+
+    /** Longest wait in milliseconds that the request tolerates at one of these workers. */
+    internal var toleranceMs: Double = 0.0
 }
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/admission/AdmissionSettings.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/admission/AdmissionSettings.kt
@@ -21,7 +21,7 @@
      */
     val maxWaitFractions: List<Double> = DEFAULT_MAX_WAIT_FRACTIONS,
     /** Reduction of the wait limit of a request if all other demand is more urgent; it is proportional to the more urgent part. */
-    val urgentDemandWeight: Double = 0.5,
+    val urgentDemandWeight: Double = 0.3,
     /** Fraction of a rank's demand, in work, below which it may wait as long as the more urgent routes tolerate. */
     val guaranteedFraction: Double = 0.25,
     /** Fraction of an upstream's demand, in work, that a route must have before others are held back for it. */
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/admission/CapacityAdmission.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/admission/CapacityAdmission.kt
@@ -1,6 +1,5 @@
 package io.kumquatmill.traffic.admission
 
-import io.kumquatmill.common.id.AvailabilityZoneId
 import io.kumquatmill.common.id.UpstreamId
 import io.kumquatmill.traffic.model.DesiredState
 import io.kumquatmill.traffic.model.TrafficRoute
@@ -64,45 +63,32 @@
         )
     }
 
-    /**
-     * Decides on [request] at a worker.
-     *
-     * @param zone availability zone of the worker
-     * @param waitMs expected time in the queue, as far as this host knows the worker's load
-     * @param serviceMs expected service time including the network
-     * @param minServiceMs shortest likely service time; 0 if nothing is known of it
-     * @param slots requests that the worker executes concurrently
-     * @param timeLeftMs time until the request's deadline
-     */
+    /** Decides on [request] at the worker of [candidate]; [timeLeftMs] is the time until the request's deadline. */
     fun decide(
         request: AdmissionRequest,
-        zone: AvailabilityZoneId,
-        waitMs: Double,
-        serviceMs: Double,
-        minServiceMs: Double,
-        slots: Int,
+        candidate: AdmissionCandidate,
         timeLeftMs: Long,
     ): AdmissionDecision {
         val demand = demandByUpstream[request.upstream]
         val rank = request.effectiveRank
-        val queueMs = max(waitMs, settings.zoneWaitWeight * observedWaits.waitMs(tickedAtMs, request.upstream, zone))
-        val toleranceMs = toleranceMs(request, serviceMs)
-        val isFree = queueMs <= 0
+        val zoneWaitMs = observedWaits.waitMs(tickedAtMs, request.upstream, candidate.zone)
+        val waitMs = max(candidate.waitMs, settings.zoneWaitWeight * zoneWaitMs)
+        val toleranceMs = toleranceMs(request, candidate)
+        val isFree = waitMs <= 0
+        request.serviceMs = min(request.serviceMs ?: candidate.serviceMs, candidate.serviceMs)
+        request.toleranceMs = max(request.toleranceMs, toleranceMs)
         return when {
-            queueMs + minServiceMs > timeLeftMs -> AdmissionDecision.PAST_DEADLINE
-            isLate(request, serviceMs) ->
-                if (isFree || demand == null || queueMs + serviceMs / slots <= demand.lateLimitMs(rank)) {
+            waitMs + candidate.minServiceMs > timeLeftMs -> AdmissionDecision.PAST_DEADLINE
+            isLate(request, candidate.serviceMs) ->
+                if (isFree || demand == null || waitMs + candidate.serviceMs / candidate.slots <= demand.lateLimitMs(rank)) {
                     AdmissionDecision.LATE
                 } else {
                     AdmissionDecision.LATE_DELAYS_OTHERS
                 }
-            queueMs > toleranceMs -> AdmissionDecision.WAIT_TOO_LONG
-            isFree || demand == null || queueMs <= demand.limitMs(rank) -> AdmissionDecision.ON_TIME
+            !isFree && waitMs > toleranceMs -> AdmissionDecision.WAIT_TOO_LONG
+            isFree || demand == null || waitMs <= demand.limitMs(rank) -> AdmissionDecision.ON_TIME
             else -> AdmissionDecision.YIELDS_TO_URGENT
-        }.also {
-            request.decision = it
-            request.serviceMs = min(request.serviceMs ?: serviceMs, serviceMs)
-        }
+        }.also { request.decision = it }
     }
 
     /** Records that the arriving [request] was sent to a worker that is expected to take [serviceMs] milliseconds. */
@@ -133,7 +119,7 @@
         val ranks = priorities?.size ?: return
         demandByUpstream
             .getOrPut(request.upstream) { UpstreamDemand(settings, ranks).also { it.tick(nowMs) } }
-            .record(request, serviceMs, toleranceMs(request, serviceMs), isServed)
+            .record(request, serviceMs, request.toleranceMs, isServed)
     }
 
     /** Computes the limits again; must be called several times per second. */
@@ -157,11 +143,16 @@
         serviceMs: Double,
     ): Boolean = request.elapsedMs + serviceMs > request.route.targetLatencyMs
 
+    /**
+     * Returns how long [request] may wait at [candidate]. It is the same for callers of all regions: otherwise the callers of a region
+     * with few workers, who reach most workers later than others, would be refused first.
+     */
     private fun toleranceMs(
         request: AdmissionRequest,
-        serviceMs: Double,
+        candidate: AdmissionCandidate,
     ): Double {
         val fraction = settings.maxWaitFractions[min(request.priorityRank, settings.maxWaitFractions.lastIndex)]
-        return max(0.0, request.route.targetLatencyMs - request.elapsedMs - serviceMs) * fraction
+        val neededMs = request.elapsedMs + candidate.serviceMs + candidate.reserveMs
+        return max(0.0, request.route.targetLatencyMs - neededMs) * fraction
     }
 }
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
@@ -4,6 +4,7 @@
 import io.kumquatmill.common.id.AvailabilityZoneId
 import io.kumquatmill.common.id.RegionId
 import io.kumquatmill.common.id.UpstreamId
+import io.kumquatmill.traffic.admission.AdmissionCandidate
 import io.kumquatmill.traffic.admission.CapacityAdmission
 import io.kumquatmill.traffic.model.TrafficRoute
 import kotlin.math.ln
@@ -140,9 +141,11 @@
         val byCost = query.admission
         if (byCost != null) {
             val entry = candidate.worker.entry
-            return admission
-                .decide(byCost, entry.availabilityZone, candidate.waitMs, candidate.serviceMs, serviceMs, entry.slots, query.timeLeftMs)
-                .isServed
+            val maxRoundTripMs = if (regionByZone.values.any { it != ownRegion }) settings.crossRegionRoundTripMs else 0.0
+            val reserveMs = max(0.0, maxRoundTripMs - roundTripMs(candidate.worker))
+            val byCostCandidate =
+                AdmissionCandidate(entry.availabilityZone, candidate.waitMs, candidate.serviceMs, serviceMs, reserveMs, entry.slots)
+            return admission.decide(byCost, byCostCandidate, query.timeLeftMs).isServed
         }
         return candidate.waitMs <= maxWaitMs(query, candidate) && candidate.waitMs + serviceMs <= query.timeLeftMs
     }
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/admission/CapacityAdmissionTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/admission/CapacityAdmissionTest.kt
@@ -13,6 +13,7 @@
 import kotlin.test.assertNull
 
 class CapacityAdmissionTest {
+    private val zone = AvailabilityZoneId("east-a")
     private val urgent = route().copy(id = RouteId("playback"), targetLatencyMs = 500, priority = 0, isBulk = true)
     private val patient = route().copy(id = RouteId("enrolment"), targetLatencyMs = 4_000, priority = 2)
     private val admission = CapacityAdmission().apply { update(desiredState().copy(routes = listOf(urgent, patient))) }
@@ -30,14 +31,15 @@
         waitMs: Double,
         serviceMs: Double = 200.0,
         timeLeftMs: Long = 10_000,
-    ) = admission.decide(request, AvailabilityZoneId("east-a"), waitMs, serviceMs, serviceMs, slots = 8, timeLeftMs = timeLeftMs)
+        reserveMs: Double = 0.0,
+    ) = admission.decide(request, AdmissionCandidate(zone, waitMs, serviceMs, serviceMs, reserveMs, slots = 8), timeLeftMs)
 
     private fun demand(
         route: TrafficRoute,
         count: Int,
         isServed: Boolean = true,
     ) = repeat(count) {
-        val request = request(route).also { it.serviceMs = 200.0 }
+        val request = request(route).also { decide(it, waitMs = 0.0) }
         if (isServed) admission.onServed(0, request, 200.0) else admission.onRefused(0, request)
     }
 
@@ -98,6 +100,15 @@
         assertEquals(AdmissionDecision.ON_TIME, decide(request(patient), waitMs = 0.0))
     }
 
+    /** Guards against refusing the callers of a region with few workers first, as they reach the workers of other regions later. */
+    @Test
+    fun `callers of all regions wait equally long`() {
+        val waitsMs = (0..400 step 5).map { it.toDouble() }
+        val near = waitsMs.last { decide(request(urgent), it, serviceMs = 200.0, reserveMs = 75.0).isServed }
+        val far = waitsMs.last { decide(request(urgent), it, serviceMs = 275.0).isServed }
+        assertEquals(far, near)
+    }
+
     /** Guards against losing the order of the routes, and against ignoring the priorities of workspaces. */
     @Test
     fun `ranks follow the route, then the workspace`() {
