--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/capacity/PeerReportCost.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/capacity/PeerReportCost.kt
@@ -101,7 +101,7 @@
             storeRevision = 4_711,
             isServing = true,
             version = 12,
-            demandPerS = demanded.associate { WorkspaceTag.of(it.id) to 1.5 },
+            demandPerS = demanded.associate { WorkspaceTag.of(it.id) to DEMAND_PER_S },
             sharesPerMille = demanded.associate { WorkspaceTag.of(it.id) to SHARE_PER_MILLE },
             workerReachAgeMs = 40,
         )
@@ -140,6 +140,7 @@
         const val LARGE_RATE_PER_S = 300.0
         const val SMALL_RATE_PER_S = 20.0
         const val DEMANDED_WORKSPACES = 4
+        const val DEMAND_PER_S = 1.5
         const val SHARE_PER_MILLE = 30
         const val HOSTS_PER_NET = 250
         const val INCARNATION_MS = 1_765_000_000_000
--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/Patterns.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/Patterns.kt
@@ -22,7 +22,7 @@
 ) = LoadPattern(
     name = name,
     regionByZone = regionByZone,
-    hostsPerZone = 1,
+    hosts = 6,
     workersByZone = workersByZone,
     workerProfile = WorkerProfile(slots = 8, queueCapacity = 24, warmObjectCapacity = 35),
     requestProfiles =
@@ -101,5 +101,5 @@
             listOf(beyondCapacity, regionalBurst).map { it.copy(name = "${it.name}-$count", hostCount = count) }
         }
 
-    val all = listOf(unevenRegions, beyondCapacity, regionalBurst, wave, slowWorkers) + largeFleets + SpeedPatterns.all
+    val all = listOf(unevenRegions, beyondCapacity, regionalBurst, wave, slowWorkers) + largeFleets + SpeedPatterns.all + ScarcityPatterns.all
 }
--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/SpeedPatterns.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/SpeedPatterns.kt
@@ -27,7 +27,7 @@
         LoadPattern(
             name = "changing-speeds-$hostCount",
             regionByZone = zones,
-            hostsPerZone = 1,
+            hosts = hostCount,
             workersByZone = zones.keys.associateWith { WORKERS_PER_ZONE },
             workerProfile = WorkerProfile(slots = 4, queueCapacity = 12, warmObjectCapacity = 35),
             requestProfiles =
@@ -59,7 +59,6 @@
             durationMs = 30_000,
             slownessFactor = ::slownessFactor,
             reportsSpeed = true,
-            hostCount = hostCount,
         )
 
     val all = listOf(7, 34, 98).map(::pattern)
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/AttemptResults.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/AttemptResults.kt
@@ -1,6 +1,7 @@
 package io.kumquatmill.traffic.control
 
 import io.kumquatmill.common.id.WorkerId
+import io.kumquatmill.traffic.admission.CapacityAdmission
 import io.kumquatmill.traffic.crash.CrashingRequests
 import io.kumquatmill.traffic.leaving.LeavingWorkers
 import io.kumquatmill.traffic.model.WorkerEntry
@@ -25,6 +26,7 @@
     private val leaving: LeavingWorkers,
     private val nextAttempt: NextAttempt,
     private val sharedLoads: SharedLoads,
+    private val capacity: CapacityAdmission,
     private val entryOf: (WorkerId) -> WorkerEntry?,
 ) {
     /** See [TrafficController.onResult]. */
@@ -86,6 +88,7 @@
             worker.onLoadReport(nowMs, it)
             sharedLoads.onReported(nowMs, worker, it)
         }
+        load.running?.let { capacity.onLoad(nowMs, worker.entry, it, load.waiting ?: 0) }
         load.servicePercent?.let { worker.onSpeedReport(nowMs, it) }
     }
 
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
@@ -5,6 +5,8 @@
 import io.kumquatmill.common.id.AvailabilityZoneId
 import io.kumquatmill.common.id.RegionId
 import io.kumquatmill.common.id.UpstreamId
+import io.kumquatmill.traffic.admission.AdmissionCandidate
+import io.kumquatmill.traffic.admission.CapacityAdmission
 import io.kumquatmill.traffic.model.TrafficRoute
 import kotlin.math.max
 import kotlin.math.min
@@ -18,12 +20,14 @@
  * later. A request that would wait too long at every worker is refused before it occupies a queue.
  *
  * @param regionByZone region of each availability zone
+ * @param admission decides on requests that are admitted by cost
  */
 class Placement(
     private val workers: WorkerRegistry,
     private val regionByZone: Map<AvailabilityZoneId, RegionId>,
     ownZone: AvailabilityZoneId,
     private val settings: PlacementSettings = PlacementSettings(),
+    private val admission: CapacityAdmission = CapacityAdmission(),
 ) {
     private class Candidate(
         val worker: TrackedWorker,
@@ -150,6 +154,15 @@
         candidate: Candidate,
     ): Boolean {
         val serviceMs = if (serviceTimes.isKnown(query.route)) candidate.serviceMs * MIN_SERVICE_FRACTION else 0.0
+        val byCost = query.admission
+        if (byCost != null) {
+            val entry = candidate.worker.entry
+            val maxRoundTripMs = if (regionByZone.values.any { it != ownRegion }) settings.crossRegionRoundTripMs else 0.0
+            val reserveMs = max(0.0, maxRoundTripMs - roundTripMs(candidate.worker))
+            val byCostCandidate =
+                AdmissionCandidate(entry.availabilityZone, candidate.waitMs, candidate.serviceMs, serviceMs, reserveMs, entry.slots)
+            return admission.decide(byCost, byCostCandidate, query.timeLeftMs).isServed
+        }
         return candidate.waitMs <= maxWaitMs(query, candidate) && candidate.waitMs + serviceMs <= query.timeLeftMs
     }
 
