--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/Patterns.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/Patterns.kt
@@ -101,5 +101,6 @@
             listOf(beyondCapacity, regionalBurst).map { it.copy(name = "${it.name}-$count", hostCount = count) }
         }
 
-    val all = listOf(unevenRegions, beyondCapacity, regionalBurst, wave, slowWorkers) + largeFleets + SpeedPatterns.all + ScarcityPatterns.all
+    val all =
+        listOf(unevenRegions, beyondCapacity, regionalBurst, wave, slowWorkers) + largeFleets + SpeedPatterns.all + ScarcityPatterns.all
 }
