Serve a request whose service time is close to its target although the queue is not empty

Such a request tolerates hardly any wait, and the mean wait of a zone is seldom exactly 0, so it was refused by cost while workers were nearly idle. It now counts as late and is served where it delays nobody.

--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/OverloadPolicy.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/OverloadPolicy.kt
@@ -21,7 +21,6 @@
         val noColdKeyLimit = OverloadPolicy("cold keys anywhere", PlacementSettings(uncachedKeyMaxLoad = 100.0))
 
         val byTarget = OverloadPolicy("by target", admission = AdmissionSettings(AdmissionMode.BY_TARGET))
-
         val byCost = OverloadPolicy("by cost", admission = AdmissionSettings(AdmissionMode.BY_COST))
         val ownWorkersOnly = OverloadPolicy("no zone waits", admission = AdmissionSettings(zoneWaitWeight = 0.0))
 
@@ -36,6 +35,7 @@
                 noWaitLimit,
                 noColdKeyLimit,
                 byTarget,
+                byCost,
                 ownWorkersOnly,
             )
     }
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/admission/CapacityAdmission.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/admission/CapacityAdmission.kt
@@ -77,17 +77,18 @@
         val isFree = waitMs <= 0
         request.serviceMs = min(request.serviceMs ?: candidate.serviceMs, candidate.serviceMs)
         request.toleranceMs = max(request.toleranceMs, toleranceMs)
+        val lateLimitMs = demand?.lateLimitMs(rank) ?: 0.0
+        val limitMs = demand?.limitMs(rank) ?: Double.MAX_VALUE
+        val delaysNobody = isFree || waitMs + candidate.serviceMs / candidate.slots <= lateLimitMs
+        val isLate = isLate(request, candidate.serviceMs)
+        // A service time close to the target leaves no tolerance, and a short queue is no reason to refuse.
+        val isOnTime = !isLate && (isFree || waitMs <= toleranceMs)
         return when {
             waitMs + candidate.minServiceMs > timeLeftMs -> AdmissionDecision.PAST_DEADLINE
-            isLate(request, candidate.serviceMs) ->
-                if (isFree || demand == null || waitMs + candidate.serviceMs / candidate.slots <= demand.lateLimitMs(rank)) {
-                    AdmissionDecision.LATE
-                } else {
-                    AdmissionDecision.LATE_DELAYS_OTHERS
-                }
-            !isFree && waitMs > toleranceMs -> AdmissionDecision.WAIT_TOO_LONG
-            isFree || demand == null || waitMs <= demand.limitMs(rank) -> AdmissionDecision.ON_TIME
-            else -> AdmissionDecision.YIELDS_TO_URGENT
+            isOnTime -> if (isFree || waitMs <= limitMs) AdmissionDecision.ON_TIME else AdmissionDecision.YIELDS_TO_URGENT
+            delaysNobody -> AdmissionDecision.LATE
+            isLate -> AdmissionDecision.LATE_DELAYS_OTHERS
+            else -> AdmissionDecision.WAIT_TOO_LONG
         }.also { request.decision = it }
     }
 
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/admission/CapacityAdmissionTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/admission/CapacityAdmissionTest.kt
@@ -76,6 +76,7 @@
         assertEquals(AdmissionDecision.LATE, decide(request(urgent), waitMs = 0.0, serviceMs = 900.0))
         assertEquals(AdmissionDecision.LATE, decide(request(urgent), waitMs = 100.0, serviceMs = 900.0))
         assertEquals(AdmissionDecision.LATE_DELAYS_OTHERS, decide(request(urgent), waitMs = 250.0, serviceMs = 900.0))
+        assertEquals(AdmissionDecision.LATE, decide(request(urgent), waitMs = 10.0, serviceMs = 495.0))
         assertEquals(AdmissionDecision.PAST_DEADLINE, decide(request(urgent), waitMs = 100.0, serviceMs = 900.0, timeLeftMs = 950))
     }
 
