--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/OverloadPolicy.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/OverloadPolicy.kt
@@ -23,7 +23,6 @@
         val noReportedSpeed = OverloadPolicy("no reported speed", PlacementSettings(reportedSpeedTtlMs = 0))
         val noSharedLoads = OverloadPolicy("no shared loads", PlacementSettings(sharedLoadsPerReport = 0))
         val byTarget = OverloadPolicy("by target", admission = AdmissionSettings(AdmissionMode.BY_TARGET))
-
         val byCost = OverloadPolicy("by cost", admission = AdmissionSettings(AdmissionMode.BY_COST))
         val ownWorkersOnly = OverloadPolicy("no zone waits", admission = AdmissionSettings(zoneWaitWeight = 0.0))
 
@@ -40,6 +39,7 @@
                 noReportedSpeed,
                 noSharedLoads,
                 byTarget,
+                byCost,
                 ownWorkersOnly,
             )
     }
