Send responses at once although further requests were read

Undertow sets BUFFER_PIPELINED_DATA unless told otherwise: a response is kept in memory while bytes of a further request are there, until the next response on the connection is written. Bytes that were read ahead are given back to Undertow before a response is sent, so this applied to each pipelined request. If the next request was malformed, Undertow wrote its 400 past the buffer, and the caller took it for the response to the request before, which had been run and was lost.

The option is off for all listeners of a host.

Measured by the new test: a response that was ready after 50 ms, with a request of 1,500 ms behind it, reached the caller after 1,517 ms; now the test's bound of 1,000 ms holds. With a malformed request behind it, the caller read 400 and nothing else; now 200, then 400.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/GatewayServers.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/GatewayServers.kt
@@ -54,6 +54,8 @@
             .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
             .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEADER_TIMEOUT_MS)
             .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MS)
+            // Undertow would keep a response until the next one on the connection is ready, and drop it if the next request is malformed.
+            .setServerOption(UndertowOptions.BUFFER_PIPELINED_DATA, false)
             .setServerOption(UndertowOptions.ENABLE_HTTP2, false)
             .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
 
