Leave heads with several spaces in a value to the ordinary path

Undertow reads several spaces within a header value as one. A head with such a value was read ahead as the caller sent it, so it was not the one that Undertow found in its turn: the request ran twice, and all requests behind it were cancelled and ran again.

Measured by the new test with eight heads of unusual but valid form, of which one has two spaces in a value: one mismatch before, none now.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/PipelinedHeadParser.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/PipelinedHeadParser.kt
@@ -89,7 +89,8 @@
     ): Boolean =
         when (val lowerName = name.lowercase()) {
             "connection" -> !value.equals("keep-alive", ignoreCase = true)
-            else -> lowerName in unusualHeaders || RequestHeadRules.headerFlaw(name, value) != null
+            // Undertow reads several spaces as one, so the head would not be the same.
+            else -> lowerName in unusualHeaders || "  " in value || RequestHeadRules.headerFlaw(name, value) != null
         }
 
     private fun indexOfHeadEnd(
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/caller/PipelinedHeadParserTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/caller/PipelinedHeadParserTest.kt
@@ -47,6 +47,7 @@
                     "Host: other",
                     "X-N : 1",
                     "X-N: 1 ",
+                    "X-N: 1  2",
                     "X-N:\t1",
                     " folded",
                     "no header",
