Do not read ahead requests that the server rejects

Undertow answers a target with malformed percent-encoding, or with more than 1,000 parameters, with 400. Such heads were read ahead and sent to a worker before Undertow saw them. A worker that rejects them without naming the request, or closes the connection, is taken for failing, so a caller could make a host avoid healthy workers.

The parser leaves malformed escapes and more than 100 parameters to the ordinary path.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/PipelinedHeadParser.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/PipelinedHeadParser.kt
@@ -30,8 +30,12 @@
  */
 internal object PipelinedHeadParser {
     private const val MAX_HEADERS = 100
+
+    /** Well below the 1,000 that Undertow accepts. */
+    private const val MAX_PARAMETERS = 100
     private val headEnd = "\r\n\r\n".toByteArray()
     private val requestLine = Regex("(GET|HEAD) ((/[A-Za-z0-9/%._~!$&'()*+,=:@-]*)(?:\\?[A-Za-z0-9/%._~!$&'()*+,=:@?-]+)?) HTTP/1\\.1")
+    private val malformedEscape = Regex("%(?![0-9A-Fa-f]{2})")
     private val headerLine = Regex("([A-Za-z0-9!#$%&'*+.^_`|~-]+): ?([\\x21-\\x7e](?:[\\x20-\\x7e]*[\\x21-\\x7e])?)")
 
     /** Headers that announce a body, or that change how this or later requests on the connection are read, in lower case. */
@@ -72,6 +76,9 @@
         fields.filterNotNull().forEach { headers.add(HttpString(it.groupValues[1]), it.groupValues[2]) }
         return when {
             request == null -> PipelinedHead.Unusual("request line")
+            // The server rejects these. A worker may do so too, which would count as its failure.
+            malformedEscape.containsMatchIn(request.value) -> PipelinedHead.Unusual("percent-encoding")
+            request.value.count { it == '&' } >= MAX_PARAMETERS -> PipelinedHead.Unusual("more than $MAX_PARAMETERS parameters")
             fields.size > MAX_HEADERS -> PipelinedHead.Unusual("more than $MAX_HEADERS headers")
             null in fields -> PipelinedHead.Unusual("header line")
             fields.any { it != null && isUnusual(it.groupValues[1], it.groupValues[2]) } -> PipelinedHead.Unusual("header")
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/caller/PipelinedHeadParserTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/caller/PipelinedHeadParserTest.kt
@@ -36,6 +36,11 @@
                 "GET http://h/a HTTP/1.1",
                 "GET /a;x HTTP/1.1",
                 "GET /a? HTTP/1.1",
+                "GET /a/% HTTP/1.1",
+                "GET /a/%2 HTTP/1.1",
+                "GET /a/%2x?y HTTP/1.1",
+                "GET /a?x=%zz HTTP/1.1",
+                "GET /a?${"x&".repeat(101)} HTTP/1.1",
             ).map { head(it, "Host: h") } +
                 listOf(
                     "Content-Length: 0",
