Deliver only the messages of peers that have arrived when a task starts

One task of the event loop delivered messages until the inbox was empty, including those that arrived meanwhile. With messages that arrive as fast as they are handled, the event loop would serve no caller.

Measured by the new test, in which each message makes another arrive: one task delivered 104 messages instead of the 5 that had arrived.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/PeerInbox.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/PeerInbox.kt
@@ -33,7 +33,8 @@
         // Cleared first: a message that is added from here on schedules the next task.
         isScheduled.set(false)
         try {
-            while (true) onMessage(messages.poll() ?: return)
+            // What arrives from here on is left to the next task: the event loop has to serve callers in between.
+            repeat(messages.size) { onMessage(messages.poll() ?: return) }
         } finally {
             // An unexpected error in one message must not hold up the others.
             if (messages.isNotEmpty()) schedule()
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/peer/PeerInboxTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/peer/PeerInboxTest.kt
@@ -20,6 +20,23 @@
         assertEquals(1, tasks.size, "a message after the task must schedule another one")
     }
 
+    /** Guards against an event loop that serves no caller while messages arrive as fast as they are handled. */
+    @Test
+    fun `a message that arrives during delivery waits for the next task`() {
+        lateinit var inbox: PeerInbox
+        inbox =
+            PeerInbox(tasks::addLast) {
+                received += it
+                if (received.size < 100) inbox.add(it)
+            }
+        messages.forEach(inbox::add)
+        tasks.removeFirst()()
+        assertEquals(messages.size, received.size)
+        assertEquals(1, tasks.size, "what has arrived meanwhile must be delivered by one further task")
+        while (tasks.isNotEmpty()) tasks.removeFirst()()
+        assertEquals(100 + messages.size - 1, received.size)
+    }
+
     @Test
     fun `an unexpected error in one message does not hold up those behind it`() {
         val inbox =
