Count free slots of a zone against its queues

Cause: the mean wait of a zone counted queues only, so that a few workers with hot objects made a zone look busy whose other workers were free.

Change: the mean is that of running and waiting requests less slots; it is a wait only where that is above zero.

--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/admission/ObservedWaits.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/admission/ObservedWaits.kt
@@ -6,7 +6,8 @@
 import kotlin.math.max
 
 /**
- * Mean queue of the workers of an upstream in a zone, from the loads that they report with their responses.
+ * Queue that the workers of an upstream in a zone have on average, from the loads that they report with their responses. Free slots count
+ * against queues: while some workers of the zone are free, a request can avoid the others.
  *
  * In a large fleet a host hears of each single worker only every few seconds, but of some worker of each zone several times a second.
  */
@@ -31,7 +32,7 @@
     ) {
         val mean = queues.getOrPut(upstream to zone) { Mean() }
         val decay = exp(-max(0L, nowMs - mean.updatedAtMs) / DECAY_MS)
-        mean.sum = mean.sum * decay + max(0.0, running.toDouble() + waiting - slots + 1) / max(1, slots)
+        mean.sum = mean.sum * decay + (running.toDouble() + waiting - slots + 1) / max(1, slots)
         mean.weight = mean.weight * decay + 1
         mean.updatedAtMs = nowMs
     }
@@ -52,7 +53,8 @@
     ): Double {
         val mean = queues[upstream to zone] ?: return 0.0
         val decay = exp(-max(0L, nowMs - mean.updatedAtMs) / DECAY_MS)
-        return mean.sum * decay / (mean.weight * decay + PRIOR_WEIGHT) * (serviceMs[upstream] ?: 0.0)
+        val queue = max(0.0, mean.sum) * decay / (mean.weight * decay + PRIOR_WEIGHT)
+        return queue * (serviceMs[upstream] ?: 0.0)
     }
 
     /** Forgets all observations. */
