--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/OverloadPolicy.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/OverloadPolicy.kt
@@ -1,5 +1,7 @@
 package io.kumquatmill.bench.overload
 
+import io.kumquatmill.traffic.admission.AdmissionMode
+import io.kumquatmill.traffic.admission.AdmissionSettings
 import io.kumquatmill.traffic.placement.PlacementSettings
 
 /** The design, with all its mechanisms or with one of them disabled. */
@@ -7,6 +9,7 @@
     val name: String,
     val placement: PlacementSettings = PlacementSettings(),
     val hasAffinityKeys: Boolean = true,
+    val admission: AdmissionSettings = AdmissionSettings(),
 ) {
     companion object {
         val design = OverloadPolicy("design")
@@ -19,6 +22,9 @@
 
         val noReportedSpeed = OverloadPolicy("no reported speed", PlacementSettings(reportedSpeedTtlMs = 0))
         val noSharedLoads = OverloadPolicy("no shared loads", PlacementSettings(sharedLoadsPerReport = 0))
+        val byTarget = OverloadPolicy("by target", admission = AdmissionSettings(AdmissionMode.BY_TARGET))
+        val byCost = OverloadPolicy("by cost", admission = AdmissionSettings(AdmissionMode.BY_COST))
+        val ownWorkersOnly = OverloadPolicy("no zone waits", admission = AdmissionSettings(zoneWaitWeight = 0.0))
 
         /** The design, followed by the variants with one mechanism disabled. */
         val all =
@@ -32,6 +38,9 @@
                 noColdKeyLimit,
                 noReportedSpeed,
                 noSharedLoads,
+                byTarget,
+                byCost,
+                ownWorkersOnly,
             )
     }
 }
--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/RequestProfile.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/RequestProfile.kt
@@ -13,6 +13,8 @@
  * @property priority priority of the requests; 0 is the highest
  * @property isIdempotent whether a request may be executed more than once
  * @property hasAffinity whether requests for the same object carry its key, so that they find it warm
+ * @property isBulk whether responses are large and still useful when late
+ * @property slowFraction fraction of the requests that take [SLOW_FACTOR] times as long
  */
 internal data class RequestProfile(
     val name: String,
@@ -26,4 +28,10 @@
     val priority: Int,
     val isIdempotent: Boolean = true,
     val hasAffinity: Boolean = true,
-)
+    val isBulk: Boolean = false,
+    val slowFraction: Double = 0.0,
+) {
+    companion object {
+        const val SLOW_FACTOR = 7.0
+    }
+}
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
@@ -295,6 +295,7 @@
         val durationMs = clock.nowMs() - arrivedAtMs
         context.log.requestFinished(identity, resolved, trafficRequest, response.status, response.outcome, durationMs, controller.version)
         context.metrics.countRequest(resolved.route.id.value, response.outcome)
+        trafficRequest?.admissionDecision?.let(context.metrics::countAdmission)
         context.metrics.recordDuration(response.outcome, durationMs)
         val open = exchange
         if (isCallerDisconnected || open == null) return
