--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/Patterns.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/Patterns.kt
@@ -98,7 +98,7 @@
     /** Load beyond capacity and a burst in fleets in which each host hears from a worker only now and then. */
     val largeFleets =
         listOf(34, 98).flatMap { count ->
-            listOf(beyondCapacity, regionalBurst).map { it.copy(name = "${it.name}-$count", hostCount = count) }
+            listOf(beyondCapacity, regionalBurst).map { it.copy(name = "${it.name}-$count", hosts = count) }
         }
 
     val all =
