--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/admission/ObservedWaits.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/admission/ObservedWaits.kt
@@ -45,7 +45,10 @@
         this.serviceMs.merge(upstream, serviceMs) { mean, value -> mean + SMOOTHING * (value - mean) }
     }
 
-    /** Returns the mean wait in milliseconds at the workers of [upstream] in [zone]; it tends to 0 without recent reports. */
+    /**
+     * Returns the mean wait in milliseconds at the workers of [upstream] in [zone], or 0 if it is shorter than [MIN_QUEUE] of a service time:
+     * then some workers are still free, and the mean says little about a single one. It tends to 0 without recent reports.
+     */
     fun waitMs(
         nowMs: Long,
         upstream: UpstreamId,
@@ -54,7 +57,7 @@
         val mean = queues[upstream to zone] ?: return 0.0
         val decay = exp(-max(0L, nowMs - mean.updatedAtMs) / DECAY_MS)
         val queue = max(0.0, mean.sum) * decay / (mean.weight * decay + PRIOR_WEIGHT)
-        return queue * (serviceMs[upstream] ?: 0.0)
+        return if (queue < MIN_QUEUE) 0.0 else queue * (serviceMs[upstream] ?: 0.0)
     }
 
     /** Forgets all observations. */
@@ -68,6 +71,9 @@
         const val DECAY_MS = 500.0
         const val SMOOTHING = 0.05
 
+        /** Mean wait in service times from which a zone counts as full. */
+        const val MIN_QUEUE = 0.5
+
         /** Weight of an assumed empty queue, which prevails when reports become rare. */
         const val PRIOR_WEIGHT = 0.5
     }
