--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/admission/ObservedWaits.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/admission/ObservedWaits.kt
@@ -46,8 +46,8 @@
     }
 
     /**
-     * Returns the mean wait in milliseconds at the workers of [upstream] in [zone], or 0 if it is shorter than [MIN_QUEUE] of a service time:
-     * then some workers are still free, and the mean says little about a single one. It tends to 0 without recent reports.
+     * Returns the mean wait in milliseconds at the workers of [upstream] in [zone], or 0 if it is shorter than [MIN_QUEUE] of a service
+     * time: then some workers are still free, and the mean says little about a single one. It tends to 0 without recent reports.
      */
     fun waitMs(
         nowMs: Long,
