Wait for the next selection while closed connections hold too much memory

Cause: a heap dump of a host that ran out of memory in ManyEndlessResponsesTest shows 685 builders of 73,726 bytes for heads of 60 kB, where the limit for incomplete responses leaves room for some 180. The others belonged to responses that had given way: Undertow's selector refers to a closed connection, and so to what was parsed on it, until it selects again. When hundreds of responses are ready at once, all are read between two selections. Change: ResponseBuffers counts what gave way until the event loop runs its next task; beyond half of the limit, reads return nothing until then.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/EventLoopHttpClient.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/EventLoopHttpClient.kt
@@ -32,7 +32,7 @@
     private val loop: XnioIoThread,
     private val bufferPool: ByteBufferPool,
     private val clock: MonotonicClock,
-    private val responseBuffers: ResponseBuffers = ResponseBuffers(),
+    private val responseBuffers: ResponseBuffers = ResponseBuffers(beforeSelection = { loop.execute(it) }),
     private val onConnectionNeeded: (ConnectionNeed) -> Unit = { },
 ) {
     private val idleConnections = IdleConnectionPool(clock)
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/ResponseBuffers.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/ResponseBuffers.kt
@@ -9,11 +9,16 @@
  * within milliseconds, arrive even while many servers send without end.
  *
  * @param maxResponseBytes maximum size of the body of one response
+ * Undertow's selector refers to a closed connection, and so to the head that was read on it, until it selects again. When many responses
+ * are read between two selections, those that gave way take memory all the same; reading then waits for the next selection.
+ *
  * @param maxTotalBytes maximum size of all incomplete responses together
+ * @param beforeSelection runs a task before the event loop selects again
  */
 class ResponseBuffers(
     val maxResponseBytes: Int = MAX_RESPONSE_BYTES,
     private val maxTotalBytes: Long = (Runtime.getRuntime().maxMemory() * HEAP_FRACTION).toLong(),
+    private val beforeSelection: (task: () -> Unit) -> Unit = { it() },
 ) {
     /** Buffers that hold bytes, the one that has done so for the longest time first. */
     private val holders = LinkedHashSet<ResponseBuffer>()
@@ -22,6 +27,19 @@
     internal var heldBytes = 0L
         private set
 
+    /** Number of bytes of closed connections to which the selector still refers. */
+    private var closingBytes = 0L
+
+    /** Whether reading must wait until the event loop has selected again. */
+    internal val isReadingPaused: Boolean
+        get() = closingBytes > maxTotalBytes * CLOSING_FRACTION
+
+    private fun onClosing(bytes: Long) {
+        if (bytes == 0L) return
+        closingBytes += bytes
+        if (closingBytes == bytes) beforeSelection { closingBytes = 0 }
+    }
+
     /** Opens the buffer of one response; [onEvicted] is called with the cause if it has to give way to other responses. */
     internal fun open(onEvicted: (detail: String) -> Unit) = ResponseBuffer(onEvicted)
 
@@ -56,6 +74,10 @@
         var isTooLong: Boolean = false
             private set
 
+        /** Whether no response may be read before the event loop has selected again. */
+        val isReadingPaused: Boolean
+            get() = this@ResponseBuffers.isReadingPaused
+
         /** Adds [part] to the body, or returns why there is no room for it. */
         fun add(part: ByteArray): String? {
             isTooLong = size + part.size > maxResponseBytes
@@ -85,7 +107,7 @@
             check(!isReleased) { "the parts of the response are gone: end the call as incomplete" }
             val whole = ByteArray(size)
             parts.fold(0) { at, part -> part.copyInto(whole, at).let { at + part.size } }
-            release()
+            free()
             return whole
         }
 
@@ -95,9 +117,14 @@
             onEvicted(noRoom())
         }
 
-        /** Releases the memory; no effect if it was released before. */
+        /** Releases the memory of a response that is not complete; no effect if it was released before. */
         fun release() {
             if (isReleased) return
+            onClosing(framingBytes)
+            free()
+        }
+
+        private fun free() {
             isReleased = true
             holders -= this
             heldBytes -= size + framingBytes
@@ -112,5 +139,8 @@
 
         /** A complete response is copied once, and callers' requests need memory too. */
         const val HEAP_FRACTION = 0.35
+
+        /** With [HEAP_FRACTION], responses take about half of the heap at most. */
+        const val CLOSING_FRACTION = 0.5
     }
 }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/ResponseConduit.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/ResponseConduit.kt
@@ -73,6 +73,7 @@
     }
 
     override fun read(dst: ByteBuffer): Int {
+        if (buffer?.isReadingPaused == true) return 0
         val start = dst.position()
         val count = super.read(dst)
         if (count > 0) {
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/http/ResponseBuffersTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/http/ResponseBuffersTest.kt
@@ -3,8 +3,10 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFailsWith
+import kotlin.test.assertFalse
 import kotlin.test.assertNotNull
 import kotlin.test.assertNull
+import kotlin.test.assertTrue
 
 class ResponseBuffersTest {
     private val buffers = ResponseBuffers(maxResponseBytes = 600, maxTotalBytes = 1_000)
@@ -47,4 +49,16 @@
         first.release()
         assertEquals(0, buffers.heldBytes)
     }
+
+    @Test
+    fun `reading waits for the next selection while connections that were closed since the last one take too much memory`() {
+        val tasks = ArrayList<() -> Unit>()
+        val buffers = ResponseBuffers(maxResponseBytes = 600, maxTotalBytes = 1_000, beforeSelection = { tasks += it })
+        repeat(3) { buffers.open { }.holdFraming(400) }
+        assertFalse(buffers.isReadingPaused, "one of them gave way")
+        repeat(3) { buffers.open { }.holdFraming(400) }
+        assertTrue(buffers.isReadingPaused, "three more gave way")
+        tasks.single()()
+        assertFalse(buffers.isReadingPaused)
+    }
 }
