Keep an error in a request read ahead from ending an earlier one

An exception while a request was opened ahead of its turn left CallerPipeline.watch: the request in progress, not the broken one, ended with 502, or with an empty 500 of the server if it had been read ahead itself. In the read listener the same head was opened again with each read. CallerRequest.attach, cancel and onCallerDisconnected ran outside guarded.

startRequests now catches it, logs it and ends reading ahead, so that the request fails in its position. The steps named above are guarded. An error in the cleanup after an error no longer prevents the response, and a connection whose response could not be sent is closed. CallerPipeline sees requests through the interface PipelinedRequest, so that its test needs neither a network nor a controller.

CallerPipelineTest failed before ("IllegalStateException: cannot be opened" from watch) and passes now. The guards in CallerRequest are shown by reading only.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerPipeline.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerPipeline.kt
@@ -19,7 +19,7 @@
     val log: RequestLog,
     val slowCallers: SlowCallers,
     val isDraining: () -> Boolean,
-    val open: (pipeline: CallerPipeline, head: ReceivedHead) -> CallerRequest?,
+    val open: (pipeline: CallerPipeline, head: ReceivedHead) -> PipelinedRequest?,
 )
 
 /**
@@ -37,7 +37,7 @@
     private val limit = context.limit
     private val reader = PipelineReader(connection, limit, onBytes = { startRequests() }, onEndOfStream = { onDisconnected() })
     private val started = ArrayDeque<StartedRequest>()
-    private var current: CallerRequest? = null
+    private var current: PipelinedRequest? = null
     private var sending: HttpServerExchange? = null
 
     /** Size in bytes of the heads of the [started] requests, which are the first bytes that [reader] gets. */
@@ -47,7 +47,7 @@
     private var mayStart = false
 
     private class StartedRequest(
-        val request: CallerRequest,
+        val request: PipelinedRequest,
         val headBytes: Int,
     ) {
         var heldBytes = 0
@@ -59,7 +59,7 @@
 
     /** Reads on while [request] is in progress, in order to detect that the caller disconnects, and to start requests behind it. */
     fun watch(
-        request: CallerRequest,
+        request: PipelinedRequest,
         exchange: HttpServerExchange,
     ) {
         current = request
@@ -89,7 +89,7 @@
     }
 
     /** Returns the request that was started for [head], which the server has read as the next one, or null to serve it as any other. */
-    fun take(head: ReceivedHead): CallerRequest? {
+    fun take(head: ReceivedHead): PipelinedRequest? {
         val next = started.removeFirstOrNull() ?: return null
         startedHeadBytes -= next.headBytes
         releaseHeld(next)
@@ -110,7 +110,7 @@
      * be repeated, then runs again in its turn.
      */
     fun hold(
-        request: CallerRequest,
+        request: PipelinedRequest,
         bytes: Int,
     ): Boolean {
         val entry = started.firstOrNull { it.request === request } ?: return false
@@ -144,24 +144,34 @@
         request?.onCallerDisconnected()
     }
 
+    /** Starts the complete requests behind the one in progress, which must not end because of an error in one of them. */
+    @Suppress("TooGenericExceptionCaught")
     private fun startRequests() {
         if (reader.size < startedHeadBytes) return
-        while (mayStart && !context.isDraining() && hasRoom()) {
-            val parsed = PipelinedHeadParser.parse(reader.bytes, startedHeadBytes, reader.size)
-            if (parsed == PipelinedHead.Partial) return
-            val request = (parsed as? PipelinedHead.Complete)?.let { context.open(this, it.head) }
-            if (parsed !is PipelinedHead.Complete || request == null) {
-                mayStart = false
-                return
+        try {
+            while (mayStart && !context.isDraining() && hasRoom()) {
+                val parsed = PipelinedHeadParser.parse(reader.bytes, startedHeadBytes, reader.size)
+                if (parsed == PipelinedHead.Partial) return
+                mayStart = parsed is PipelinedHead.Complete && start(parsed)
             }
-            started.addLast(StartedRequest(request, parsed.sizeBytes))
-            startedHeadBytes += parsed.sizeBytes
-            context.metrics.countReadAhead(ReadAheadEvent.STARTED)
-            context.log.readAhead(request.id, current?.id, started.size, parsed.sizeBytes)
-            request.startAhead()
+        } catch (e: RuntimeException) {
+            // What has not been started is left to the ordinary path, where the request fails in its position.
+            mayStart = false
+            context.log.readAheadFailed(current?.id, started.size, e)
         }
     }
 
+    /** Starts the request with the head that was [parsed]. Returns false if it must be left to the ordinary path. */
+    private fun start(parsed: PipelinedHead.Complete): Boolean {
+        val request = context.open(this, parsed.head) ?: return false
+        started.addLast(StartedRequest(request, parsed.sizeBytes))
+        startedHeadBytes += parsed.sizeBytes
+        request.startAhead()
+        context.metrics.countReadAhead(ReadAheadEvent.STARTED)
+        context.log.readAhead(request.id, current?.id, started.size, parsed.sizeBytes)
+        return true
+    }
+
     private fun hasRoom() = limit.mayStart(started.size, started.count { it.isUnanswered }, heldBytes, largestResponseBytes)
 
     private fun cancelStarted(outcome: String) {
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
@@ -34,12 +34,12 @@
 internal class CallerRequest(
     private val context: CallerContext,
     private val pipeline: CallerPipeline,
-    val head: ReceivedHead,
-    val id: String,
+    override val head: ReceivedHead,
+    override val id: String,
     private val body: ByteArray,
     private val resolved: RouteResolution.Resolved,
     private val onFinished: (CallerRequest) -> Unit,
-) {
+) : PipelinedRequest {
     private val headerNames = context.headerNames
     private val controller = context.controller
     private val clock = context.clock
@@ -62,8 +62,7 @@
     private var exchange: HttpServerExchange? = null
     private var heldResponse: HeldResponse? = null
 
-    /** Whether requests behind this one on the connection may run at the same time. */
-    val allowsOthersBehind: Boolean
+    override val allowsOthersBehind: Boolean
         get() = head.isGetOrHead && resolved.route.isIdempotent
 
     /** Serves the request, whose turn it is, on [exchange]. */
@@ -72,28 +71,27 @@
         guarded { begin() }
     }
 
-    /** Starts the request before its turn; [attach] must follow unless it is cancelled. */
-    fun startAhead() = guarded { begin() }
+    override fun startAhead() = guarded { begin() }
 
-    /** Answers the request, whose turn has come, on [exchange]. */
-    fun attach(exchange: HttpServerExchange) {
+    override fun attach(exchange: HttpServerExchange) {
         this.exchange = exchange
         val response = heldResponse
         heldResponse = null
-        if (response == null) pipeline.watch(this, exchange) else complete(response)
+        guarded { if (response == null) pipeline.watch(this, exchange) else complete(response) }
     }
 
-    /** Ends a request that was started before its turn and will not be answered, with [outcome] in the logs. */
-    fun cancel(outcome: String) {
+    override fun cancel(outcome: String) {
         if (isCallerDisconnected) return
         isCallerDisconnected = true
         heldResponse = null
-        if (!isFinished) {
-            trafficRequest?.let { controller.abandon(clock.nowMs(), it, isWorkerSlow = false) }
-            call?.cancel()
-            endWork()
+        guarded {
+            if (!isFinished) {
+                trafficRequest?.let { controller.abandon(clock.nowMs(), it, isWorkerSlow = false) }
+                call?.cancel()
+                endWork()
+            }
+            complete(HeldResponse(CLIENT_CLOSED_REQUEST, outcome, bodyBytes = 0) { })
         }
-        complete(HeldResponse(CLIENT_CLOSED_REQUEST, outcome, bodyBytes = 0) { })
     }
 
     private fun begin() {
@@ -313,11 +311,11 @@
         respondLocally(LocalResponse.deadlineExceeded)
     }
 
-    /** Cancels an idempotent request when the caller closes its connection; any other request runs to its end. */
-    fun onCallerDisconnected() {
+    override fun onCallerDisconnected() {
         isCallerDisconnected = true
         exchange?.isPersistent = false
-        if (resolved.route.isIdempotent) {
+        guarded {
+            if (!resolved.route.isIdempotent) return@guarded
             trafficRequest?.let { controller.abandon(clock.nowMs(), it, isWorkerSlow = false) }
             call?.cancel()
             finish(CLIENT_CLOSED_REQUEST, "caller-left") { }
@@ -326,17 +324,28 @@
     }
 
     /** Runs [step] of this request. An unexpected error ends this request alone, with a response that does not say whether it has run. */
-    @Suppress("TooGenericExceptionCaught")
     private fun guarded(step: () -> Unit) {
+        if (succeeds(step)) return
+        if (!isFinished) {
+            succeeds {
+                call?.cancel()
+                trafficRequest?.let { controller.abandon(clock.nowMs(), it, isWorkerSlow = false) }
+            }
+            if (succeeds { respondLocally(LocalResponse.upstreamFailed("unexpected error")) }) return
+        }
+        // Without a response or a close, the caller would wait until its own time limit.
+        exchange?.takeUnless { it.isResponseStarted || it.isComplete }?.closeConnection()
+    }
+
+    @Suppress("TooGenericExceptionCaught")
+    private fun succeeds(step: () -> Unit): Boolean =
         try {
             step()
+            true
         } catch (e: RuntimeException) {
             context.log.requestBroken(id, e)
-            trafficRequest?.let { controller.abandon(clock.nowMs(), it, isWorkerSlow = false) }
-            call?.cancel()
-            respondLocally(LocalResponse.upstreamFailed("unexpected error"))
+            false
         }
-    }
 
     /** Ends the timers and waits of the request; it is answered later if its turn has not come. */
     private fun endWork() {
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/RequestLog.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/RequestLog.kt
@@ -76,6 +76,18 @@
         .addKeyValue("headBytes", headBytes)
         .log("read ahead")
 
+    /** Logs that nothing more is started while [current] is in progress, because of an [error] after [started] requests behind it. */
+    fun readAheadFailed(
+        current: String?,
+        started: Int,
+        error: RuntimeException,
+    ) = logger
+        .atError()
+        .addKeyValue("behind", current)
+        .addKeyValue("started", started)
+        .setCause(error)
+        .log("unexpected error while reading ahead")
+
     /** Logs that the connection of a request for [path] was closed after its caller had read [readBytes] of [bytes] of the response. */
     fun slowCallerClosed(
         path: String,
