Never close a connection as idle that has requests read ahead

When a response ends, Undertow serves bytes that were read too far in a later turn of the event loop (HttpReadListener.exchangeComplete calls execute). Until then CallerConnections took the connection for idle, and a new connection above the limit could close it although a request behind the first had been sent to a worker.

A loss between two turns was not reproduced over a socket.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerHandler.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerHandler.kt
@@ -40,8 +40,12 @@
 ) : HttpHandler {
     private val controller = context.controller
     private val activeRequests = LinkedHashSet<CallerRequest>()
-    private val connections = CallerConnections(context.maxConnections) { context.metrics.countClosedIdleConnections(it) }
-
+    private val connections =
+        CallerConnections(
+            context.maxConnections,
+            hasRequestsAhead = { it.getAttachment(pipelineKey)?.hasRequestsAhead == true },
+            onIdleClosed = { context.metrics.countClosedIdleConnections(it) },
+        )
     private val slowCallers = SlowCallers(context.clock, context.metrics, context.log)
     private val pipelines = PipelineContext(ReadAheadLimit(), context.metrics, context.log, slowCallers, { isDraining }, ::openAhead)
     private var drainSchedule: DrainSchedule? = null
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerPipeline.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerPipeline.kt
@@ -46,6 +46,10 @@
     private var largestResponseBytes = 0
     private var mayStart = false
 
+    /** Whether requests were read ahead that are not yet answered. */
+    val hasRequestsAhead: Boolean
+        get() = started.isNotEmpty()
+
     private class StartedRequest(
         val request: PipelinedRequest,
         val headBytes: Int,
