Continue the search for the end of a head where the last one ended

Each read searched all bytes of an incomplete head again, which is quadratic in its size if it arrives in small parts, up to 16 KB. CallerPipeline now keeps the index from which the next search continues.

The new test of PipelinedHeadParserTest failed while the index was ignored and passes now. Time was not measured.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerPipeline.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerPipeline.kt
@@ -42,6 +42,9 @@
 
     /** Size in bytes of the heads of the [started] requests, which are the first bytes that [reader] gets. */
     private var startedHeadBytes = 0
+
+    /** Index from which the end of the next head is searched, so that a head in small parts is not searched from its start for each. */
+    private var searchFrom = 0
     private var heldBytes = 0
     private var largestResponseBytes = 0
     private var mayStart = false
@@ -68,6 +71,7 @@
     ) {
         current = request
         mayStart = request.allowsOthersBehind && exchange.isPersistent
+        searchFrom = startedHeadBytes
         reader.start()
         startRequests()
     }
@@ -154,8 +158,11 @@
         if (reader.size < startedHeadBytes) return
         try {
             while (mayStart && !context.isDraining() && hasRoom()) {
-                val parsed = PipelinedHeadParser.parse(reader.bytes, startedHeadBytes, reader.size)
-                if (parsed == PipelinedHead.Partial) return
+                val parsed = PipelinedHeadParser.parse(reader.bytes, startedHeadBytes, reader.size, searchFrom)
+                if (parsed == PipelinedHead.Partial) {
+                    searchFrom = PipelinedHeadParser.nextSearchFrom(startedHeadBytes, reader.size)
+                    return
+                }
                 mayStart = parsed is PipelinedHead.Complete && start(parsed)
             }
         } catch (e: RuntimeException) {
@@ -170,6 +177,7 @@
         val request = context.open(this, parsed.head) ?: return false
         started.addLast(StartedRequest(request, parsed.sizeBytes))
         startedHeadBytes += parsed.sizeBytes
+        searchFrom = startedHeadBytes
         request.startAhead()
         context.metrics.countReadAhead(ReadAheadEvent.STARTED)
         context.log.readAhead(request.id, current?.id, started.size, parsed.sizeBytes)
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/PipelinedHeadParser.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/PipelinedHeadParser.kt
@@ -53,19 +53,30 @@
             "proxy-authorization",
         )
 
-    /** Returns what stands in [bytes] from index [from] up to index [to], exclusive. */
+    /**
+     * Returns what stands in [bytes] from index [from] up to index [to], exclusive.
+     *
+     * @param searchFrom index before which no end of the head begins, as [nextSearchFrom] has returned it for fewer bytes
+     */
     fun parse(
         bytes: ByteArray,
         from: Int,
         to: Int,
+        searchFrom: Int = from,
     ): PipelinedHead {
         if (from >= to) return PipelinedHead.Partial
         if (bytes[from] != 'G'.code.toByte() && bytes[from] != 'H'.code.toByte()) return PipelinedHead.Unusual("method")
-        val end = indexOfHeadEnd(bytes, from, to) ?: return PipelinedHead.Partial
+        val end = indexOfHeadEnd(bytes, searchFrom, to) ?: return PipelinedHead.Partial
         // Each line must end with CR LF; a CR or LF that stands alone remains in a line, which then does not match.
         return parseLines(String(bytes, from, end - from, Charsets.ISO_8859_1).split("\r\n"), end + headEnd.size - from)
     }
 
+    /** Returns where the search for the end of a partial head from index [from] up to [to], exclusive, continues with further bytes. */
+    fun nextSearchFrom(
+        from: Int,
+        to: Int,
+    ): Int = maxOf(from, to - headEnd.size + 1)
+
     private fun parseLines(
         lines: List<String>,
         sizeBytes: Int,
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/caller/PipelinedHeadParserTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/caller/PipelinedHeadParserTest.kt
@@ -65,6 +65,18 @@
         assertIs<PipelinedHead.Unusual>(parse("x"), "decided by the first byte")
     }
 
+    /** Guards against searching all bytes of a head again whenever a few more of it arrive. */
+    @Test
+    fun `the end of a head is searched from where the last search ended`() {
+        val text = head("GET /a HTTP/1.1", "Host: h")
+        val bytes = text.toByteArray()
+        bytes.indices.forEach { to ->
+            val searchFrom = PipelinedHeadParser.nextSearchFrom(0, to)
+            assertIs<PipelinedHead.Complete>(PipelinedHeadParser.parse(bytes, 0, bytes.size, searchFrom), "continued after $to bytes")
+        }
+        assertEquals(PipelinedHead.Partial, PipelinedHeadParser.parse(bytes, 0, bytes.size, searchFrom = bytes.size - 3))
+    }
+
     @Test
     fun `heads are the same only with the same method, target and headers`() {
         fun headOf(vararg lines: String) = assertIs<PipelinedHead.Complete>(parse(head(*lines))).head
