Resume connections that wait for room in the host when it is released

A connection on which nothing could be read or started because of the limit for the whole host stayed suspended until its request in progress was answered, also if other connections had released the room meanwhile. A disconnect of its caller was not noticed either.

ReadAheadLimit keeps those that wait and calls them in order, no more than there is room for, so that a small release does not wake all of them. Requests are started in a turn of the event loop of their own, because room is released while another connection is served.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerHandler.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerHandler.kt
@@ -43,7 +43,7 @@
     private val connections =
         CallerConnections(
             context.maxConnections,
-            hasRequestsAhead = { it.getAttachment(pipelineKey)?.hasRequestsAhead == true },
+            ::hasRequestsAhead,
             onIdleClosed = { context.metrics.countClosedIdleConnections(it) },
         )
     private val slowCallers = SlowCallers(context.clock, context.metrics, context.log)
@@ -64,7 +64,10 @@
     }
 
     /** Notes how much callers have read of their responses; called several times a second. */
-    fun tick() = slowCallers.tick()
+    fun tick() {
+        slowCallers.tick()
+        pipelines.limit.notifyWaiting()
+    }
 
     override fun handleRequest(exchange: HttpServerExchange) {
         connections.onRequest(exchange)
@@ -150,6 +153,8 @@
         resolved: RouteResolution.Resolved,
     ) = CallerRequest(context, pipeline, head, id, body, resolved) { activeRequests.remove(it) }.also { activeRequests.add(it) }
 
+    private fun hasRequestsAhead(connection: ServerConnection) = connection.getAttachment(pipelineKey)?.hasRequestsAhead == true
+
     private fun pipelineOf(connection: ServerConnection): CallerPipeline =
         connection.getAttachment(pipelineKey) ?: CallerPipeline(connection, pipelines).also { pipeline ->
             connection.putAttachment(pipelineKey, pipeline)
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerPipeline.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerPipeline.kt
@@ -49,6 +49,9 @@
     private var largestResponseBytes = 0
     private var mayStart = false
 
+    /** Starts requests in a turn of their own, since room is released while a request of another connection is being served. */
+    private val onRoom: () -> Unit = { loop.execute { if (current != null) startRequests() } }
+
     /** Whether requests were read ahead that are not yet answered. */
     val hasRequestsAhead: Boolean
         get() = started.isNotEmpty()
@@ -80,7 +83,7 @@
     fun beforeResponse(exchange: HttpServerExchange) {
         current = null
         sending = null
-        reader.stop()
+        stopReading()
         // Requests that were sent to a worker are answered before the connection is closed.
         if (context.isDraining() && started.isEmpty()) exchange.isPersistent = false
         if (!exchange.isPersistent) cancelStarted(CONNECTION_CLOSED)
@@ -139,15 +142,22 @@
 
     /** Cancels all requests behind the one in progress, because the connection was closed. */
     fun onClosed() {
-        reader.stop()
+        current = null
+        stopReading()
         sending?.let { context.slowCallers.remove(it) }
         sending = null
         cancelStarted(CALLER_LEFT)
     }
 
+    private fun stopReading() {
+        limit.stopWaiting(onRoom)
+        reader.stop()
+    }
+
     private fun onDisconnected() {
         val request = current
         current = null
+        limit.stopWaiting(onRoom)
         cancelStarted(CALLER_LEFT)
         request?.onCallerDisconnected()
     }
@@ -184,7 +194,12 @@
         return true
     }
 
-    private fun hasRoom() = limit.mayStart(started.size, started.count { it.isUnanswered }, heldBytes, largestResponseBytes)
+    private fun hasRoom(): Boolean {
+        val unanswered = started.count { it.isUnanswered }
+        val hasRoom = limit.mayStart(started.size, unanswered, heldBytes, largestResponseBytes)
+        if (!hasRoom && reader.size > startedHeadBytes) limit.awaitStart(unanswered, largestResponseBytes, onRoom)
+        return hasRoom
+    }
 
     private fun cancelStarted(outcome: String) {
         startedHeadBytes = 0
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/PipelineReader.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/PipelineReader.kt
@@ -26,6 +26,7 @@
     private val connection = connection as? AbstractServerConnection
     private var undertowListener: ChannelListener<in ConduitStreamSourceChannel>? = null
     private var isReading = false
+    private val onRoom: () -> Unit = { resume() }
 
     /** Bytes that were read and not yet given back; only the first [size] are valid. */
     var bytes = EMPTY
@@ -59,6 +60,7 @@
 
     private fun release() {
         isReading = false
+        limit.stopWaiting(onRoom)
         val channel = connection?.channel?.sourceChannel ?: return
         connection.originalSourceConduit.suspendReads()
         channel.setReadListener(undertowListener)
@@ -83,7 +85,12 @@
 
     private fun resume() {
         val conduit = connection?.originalSourceConduit ?: return
-        if (limit.readableBytes(size) > 0) conduit.resumeReads() else conduit.suspendReads()
+        if (limit.readableBytes(size) > 0) {
+            conduit.resumeReads()
+        } else {
+            conduit.suspendReads()
+            limit.awaitReadable(onRoom)
+        }
     }
 
     /** Reads all that has arrived, so that requests of a caller that has already left are not started. */
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/ReadAheadLimit.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/ReadAheadLimit.kt
@@ -4,7 +4,8 @@
 import kotlin.math.min
 
 /**
- * Decides how much may be read ahead of the request in progress on a connection. Does no I/O; must be used by one thread only.
+ * Decides how much may be read ahead of the request in progress on a connection, and which connections go on when others release room.
+ * Does no I/O; must be used by one thread only.
  *
  * @param maxRequests maximum number of requests ahead on one connection
  * @param maxHeadBytes maximum number of bytes of heads that are read ahead on one connection
@@ -17,6 +18,8 @@
     private val maxHeldBytes: Int = MAX_HELD_BYTES,
     private val maxHostBytes: Long = (Runtime.getRuntime().maxMemory() * HEAP_FRACTION).toLong(),
 ) {
+    private val waiting = LinkedHashMap<() -> Unit, Long>()
+
     /** Number of bytes of heads and responses that all connections hold. */
     var hostBytes = 0L
         private set
@@ -31,7 +34,7 @@
         heldBytes: Int,
         largestBytes: Int,
     ): Boolean {
-        val expectedBytes = (unanswered + 1L) * largestBytes
+        val expectedBytes = expectedBytes(unanswered, largestBytes)
         val fits = heldBytes + expectedBytes <= maxHeldBytes && hostBytes + expectedBytes <= maxHostBytes
         return requests < maxRequests && fits && hostBytes < maxHostBytes
     }
@@ -47,6 +50,41 @@
         return if (bufferedBytes == 0) max(room, min(FIRST_READ_BYTES, maxHeadBytes)) else max(0, room)
     }
 
+    /**
+     * Calls [onRoom] once, as soon as the host has room for [bytes], unless [stopWaiting] is called before. Has no effect if there is room
+     * now. Those that have waited longest are called first, and no more of them than there is room for.
+     */
+    fun awaitRoom(
+        bytes: Long,
+        onRoom: () -> Unit,
+    ) {
+        if (hostBytes + bytes > maxHostBytes) waiting[onRoom] = bytes
+    }
+
+    /** As [awaitRoom] for a connection on which nothing can be read. */
+    fun awaitReadable(onRoom: () -> Unit) = awaitRoom(FIRST_READ_BYTES.toLong(), onRoom)
+
+    /** As [awaitRoom] for a connection on which no request can be started; the parameters are those of [mayStart]. */
+    fun awaitStart(
+        unanswered: Int,
+        largestBytes: Int,
+        onRoom: () -> Unit,
+    ) = awaitRoom(max(1, expectedBytes(unanswered, largestBytes)), onRoom)
+
+    /** Removes [onRoom], which is not called any more. */
+    fun stopWaiting(onRoom: () -> Unit) {
+        waiting.remove(onRoom)
+    }
+
+    /** Calls those that wait and now have room; also called several times a second, since some that were called may need none. */
+    fun notifyWaiting() {
+        if (waiting.isEmpty()) return
+        var roomBytes = maxHostBytes - hostBytes
+        val ready = waiting.entries.filter { (_, bytes) -> (bytes <= roomBytes).also { if (it) roomBytes -= bytes } }.map { it.key }
+        ready.forEach { waiting.remove(it) }
+        ready.forEach { it() }
+    }
+
     /** Counts [bytes] of heads that were read. */
     fun holdHeads(bytes: Int) {
         hostBytes += bytes
@@ -65,8 +103,14 @@
     /** Ends the counting of [bytes] that are not held any more. */
     fun release(bytes: Int) {
         hostBytes -= bytes
+        notifyWaiting()
     }
 
+    private fun expectedBytes(
+        unanswered: Int,
+        largestBytes: Int,
+    ) = (unanswered + 1L) * largestBytes
+
     private companion object {
         const val MAX_REQUESTS = 4
         const val MAX_HEAD_BYTES = 16 * 1024
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/caller/CallerPipelineTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/caller/CallerPipelineTest.kt
@@ -84,4 +84,18 @@
         Thread.sleep(50)
         awaitEvents("start /a", "broken")
     }
+
+    @Test
+    fun `connections that wait for room in the host read and start requests when another one releases it`() {
+        val (reading, starting) = listOf(Caller("GET "), Caller(text("/b")))
+        onLoop {
+            limit.holdHeads(1_000)
+            listOf(reading, starting).forEach { it.watch() }
+        }
+        reading.send(text("/a").removePrefix("GET "))
+        Thread.sleep(50)
+        awaitEvents()
+        onLoop { limit.release(1_000) }
+        awaitEvents("start /b", "start /a")
+    }
 }
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/caller/ReadAheadLimitTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/caller/ReadAheadLimitTest.kt
@@ -33,4 +33,18 @@
         assertEquals(0, limit.hostBytes)
         assertTrue(limit.mayStart(requests = 0, unanswered = 0, heldBytes = 0, largestBytes = 0))
     }
+
+    @Test
+    fun `released room goes to those that have waited longest and fit`() {
+        val called = ArrayList<String>()
+        limit.holdHeads(7_000)
+        listOf("a" to 600L, "b" to 900L, "c" to 300L).forEach { (name, bytes) -> limit.awaitRoom(bytes) { called += name } }
+        val left: () -> Unit = { called += "removed" }
+        limit.awaitRoom(1, left)
+        limit.stopWaiting(left)
+        limit.release(900)
+        assertEquals(listOf("a", "c"), called)
+        limit.release(1)
+        assertEquals(listOf("a", "c", "b"), called)
+    }
 }
