--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/RequestLog.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/RequestLog.kt
@@ -88,17 +88,18 @@
         .setCause(error)
         .log("unexpected error while reading ahead")
 
-    /** Logs that the connection of a request for [path] was closed after its caller had read [readBytes] of [bytes] of the response. */
+    /** Logs that the connection of a request for [path] was closed after its caller had read [readBytes] of [bytes], and the [reason]. */
     fun slowCallerClosed(
         path: String,
         readBytes: Long,
         bytes: Long,
+        reason: String,
     ) = logger
         .atWarn()
         .addKeyValue("path", path)
         .addKeyValue("readBytes", readBytes)
         .addKeyValue("bytes", bytes)
-        .log("connection of a slow caller closed: responses that callers have not read take too much memory")
+        .log("connection of a slow caller closed: $reason")
 
     /** Logs that the request [id] was started, but that the server has read a request with [method] and [path] at its position. */
     fun readAheadMismatched(
