Split CallerRequest by responsibility

WorkerAttempts now sends the request to workers and interprets their answers, LoanWait is one wait for rate tokens, and HeldResponse a final response. CallerRequest keeps the course of a request and its end (258 lines). No change of behaviour is intended.

All tests of kumquatmill-gateway pass, and of platform ReadAheadTest, HostTest, SlowCallersTest, FramingFuzzTest, RelayTest, LeavingWorkerTest, CopiedRefusalTest and PlatformNamesTest.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
@@ -1,25 +1,12 @@
 package io.kumquatmill.gateway.caller
 
-import io.kumquatmill.common.fleet.HostAddress
-import io.kumquatmill.common.id.WorkerId
-import io.kumquatmill.gateway.http.CallResult
-import io.kumquatmill.gateway.http.ConnectionUse
-import io.kumquatmill.gateway.http.HttpCall
-import io.kumquatmill.gateway.http.OngoingCall
-import io.kumquatmill.gateway.http.ResponseHead
-import io.kumquatmill.gateway.log.AnswerSummary
 import io.kumquatmill.gateway.log.RequestIdentity
-import io.kumquatmill.gateway.relay.RelayHeaders
-import io.kumquatmill.gateway.relay.RelayedCall
-import io.kumquatmill.traffic.control.AnswerDoubt
 import io.kumquatmill.traffic.control.AttemptResult
 import io.kumquatmill.traffic.control.RequestAction
 import io.kumquatmill.traffic.control.RouteResolution
 import io.kumquatmill.traffic.control.TrafficRequest
 import io.kumquatmill.traffic.crash.RequestFingerprint
-import io.kumquatmill.traffic.model.WorkerEntry
 import io.undertow.server.HttpServerExchange
-import io.undertow.util.Headers
 import io.undertow.util.HttpString
 import org.xnio.XnioExecutor
 import java.util.concurrent.TimeUnit
@@ -45,14 +32,10 @@
     private val clock = context.clock
     private val loop = pipeline.loop
     private val arrivedAtMs = clock.nowMs()
-    private val headers = endToEndHeaders(head.headers, reservedHeaders(headerNames))
     private val fingerprint = RequestFingerprint.of(head.method, head.host, head.target, resolved.workspace?.id, body)
     private val identity = RequestIdentity(id, fingerprint)
+    private val attempts = WorkerAttempts(context, head, identity, body, resolved.workspace)
     private var trafficRequest: TrafficRequest? = null
-    private var call: OngoingCall? = null
-    private var workerResponse: CallResult.Response? = null
-    private var lastAnswer: AnswerSummary? = null
-    private var lastUse: ConnectionUse? = null
     private var deadlineTimer: XnioExecutor.Key? = null
     private var loanWait: LoanWait? = null
     private var isCallerDisconnected = false
@@ -87,7 +70,7 @@
         guarded {
             if (!isFinished) {
                 trafficRequest?.let { controller.abandon(clock.nowMs(), it, isWorkerSlow = false) }
-                call?.cancel()
+                attempts.cancel()
                 endWork()
             }
             complete(HeldResponse(CLIENT_CLOSED_REQUEST, outcome, bodyBytes = 0) { })
@@ -114,7 +97,7 @@
 
     private fun perform(action: RequestAction) {
         when (action) {
-            is RequestAction.Send -> send(action)
+            is RequestAction.Send -> attempts.send(action) { result -> guarded { onAttemptEnded(result()) } }
             is RequestAction.Wait -> waitForLoan(action)
             is RequestAction.Deliver -> forwardResponse()
             is RequestAction.Refuse -> respondLocally(LocalResponse.refused(action.cause, action.retryAfterMs))
@@ -124,36 +107,16 @@
 
     private fun waitForLoan(action: RequestAction.Wait) {
         context.log.waitingForLoan(id, resolved.workspace?.id, action.afterMs)
-        loanWait = LoanWait(action.afterMs)
-    }
-
-    /**
-     * One wait for tokens of the workspace's rate limit, which a grant or its timer ends, whichever comes first.
-     *
-     * A timer that is due runs even if it is removed in the same turn of the event loop, so a wait that has ended does nothing.
-     */
-    private inner class LoanWait(
-        afterMs: Long,
-    ) {
-        private val onGrant: () -> Unit = { guarded { end() } }
-        private val timer = loop.executeAfter(onGrant, afterMs, TimeUnit.MILLISECONDS)
-
-        init {
-            resolved.workspace?.let { context.loanWaiters.add(it.id, onGrant) }
-        }
-
-        /** Ends the wait without continuing the request. */
-        fun cancel() {
-            loanWait = null
-            timer.remove()
-            resolved.workspace?.let { context.loanWaiters.remove(it.id, onGrant) }
-        }
-
-        private fun end() {
-            if (loanWait !== this) return
-            cancel()
-            resume()
-        }
+        loanWait =
+            LoanWait(loop, context.loanWaiters, resolved.workspace?.id, action.afterMs) { wait ->
+                guarded {
+                    // A timer that is due runs even if it is removed in the same turn of the event loop.
+                    if (loanWait === wait) {
+                        endLoanWait()
+                        resume()
+                    }
+                }
+            }
     }
 
     /** Continues the request after it has waited for tokens of its workspace's rate limit. */
@@ -166,75 +129,9 @@
         }
     }
 
-    private fun send(action: RequestAction.Send) {
-        val entry = action.worker.entry
-        context.log.attemptStarted(identity, entry, controller.version, action.worker.load(clock.nowMs()), action.relay?.host)
-        val hostHeaders =
-            listOfNotNull(
-                headerNames.deadline to action.timeoutMs.toString(),
-                headerNames.expectedWorker to entry.id.value,
-                resolved.workspace?.let { headerNames.workspace to it.id.value },
-            )
-        val relay = action.relay
-        val relayHeaders =
-            if (relay == null) {
-                emptyList()
-            } else {
-                listOf(RelayHeaders.WORKER to entry.id.value, RelayHeaders.MAX_IDLE_MS to action.maxConnectionIdleMs.toString())
-            }
-        val httpCall =
-            HttpCall(
-                address = if (relay == null) entry.address else HostAddress(relay.ip, context.peerPort),
-                method = head.method,
-                target = head.target,
-                headers = headers + hostHeaders + relayHeaders,
-                body = body,
-                maxConnectionIdleMs = action.maxConnectionIdleMs,
-                maxIdleConnections = if (relay == null) action.maxIdleConnections else Int.MAX_VALUE,
-                connectTimeoutMs = minOf(CONNECT_TIMEOUT_MS, action.timeoutMs),
-                requestId = id,
-                isOwnResponse = { identityFlaw(it, id, headerNames) == null },
-                onHead = { head -> if (relay == null || RelayedCall.isFromWorker(head.headers)) onWorkerHead(entry, head, relay != null) },
-                mayKeepConnection = { relay != null || !controller.isLeaving(entry) },
-            )
-        call =
-            context.httpClient.send(httpCall) { callResult ->
-                guarded { onAttemptEnded(if (relay == null) directResult(entry.id, callResult) else relayedResult(callResult)) }
-            }
-    }
-
-    private fun onWorkerHead(
-        worker: WorkerEntry,
-        head: ResponseHead,
-        isRelayed: Boolean,
-    ) {
-        val isFirstAnswer = if (isRelayed) !RelayedCall.mayBeCopy(head.headers) else !head.use.isRepeat
-        val word = parseWorkerWord(head.status, head.headers, id, isFirstAnswer, headerNames) ?: return
-        context.metrics.countStatedPause(word.pause)
-        controller.onWorkerWord(clock.nowMs(), worker, word)
-    }
-
-    private fun directResult(
-        worker: WorkerId,
-        callResult: CallResult,
-    ): AttemptResult {
-        if (callResult is CallResult.Response) controller.onResponse(clock.nowMs(), worker, callResult.isConnectionReused)
-        lastUse = callResult.use
-        return toAttemptResult(callResult)
-    }
-
-    private fun relayedResult(callResult: CallResult): AttemptResult =
-        when (val relayed = RelayedCall.of(callResult, id, headerNames.requestId)) {
-            is RelayedCall.Ended -> relayed.result
-            is RelayedCall.Response -> relayed.believed(toAttemptResult(relayed.response))
-        }
-
     private fun onAttemptEnded(result: AttemptResult) {
-        call = null
         val sentRequest = trafficRequest ?: return
-        context.log.attemptEnded(id, sentRequest.workers.last(), result, lastAnswer, lastUse)
-        lastAnswer = null
-        lastUse = null
+        attempts.logEnded(sentRequest.workers.last(), result)
         context.metrics.countAttempt(result)
         context.metrics.countStatedLimit(result.rateLimit)
         context.metrics.countReportedLoad(result.load)
@@ -245,20 +142,8 @@
         perform(controller.onResult(clock.nowMs(), sentRequest, result))
     }
 
-    private fun toAttemptResult(callResult: CallResult): AttemptResult =
-        when (callResult) {
-            is CallResult.NotSent -> AttemptResult.Unreachable(callResult.detail, callResult.isRefused)
-            is CallResult.Incomplete ->
-                AttemptResult.Unknown(callResult.detail, callResult.isConnectionLost, AnswerDoubt.FRAMING.takeIf { callResult.isMalformed })
-            is CallResult.Response -> {
-                lastAnswer = AnswerSummary.of(callResult, headerNames)
-                classifyResponse(callResult, id, headerNames).also { if (it is AttemptResult.Answered) workerResponse = callResult }
-            }
-        }
-
     private fun forwardResponse() {
-        val response = checkNotNull(workerResponse) { "request $id has no worker response to forward" }
-        workerResponse = null
+        val response = attempts.takeResponse()
         finish(response.status, "answered", response.body.size) { exchange ->
             exchange.statusCode = response.status
             endToEndHeaders(response.headers, emptySet()).forEach { (name, value) ->
@@ -307,7 +192,7 @@
     private fun onDeadline() {
         if (isFinished) return
         trafficRequest?.let { controller.abandon(clock.nowMs(), it, isWorkerSlow = true) }
-        call?.cancel()
+        attempts.cancel()
         respondLocally(LocalResponse.deadlineExceeded)
     }
 
@@ -317,7 +202,7 @@
         guarded {
             if (!resolved.route.isIdempotent) return@guarded
             trafficRequest?.let { controller.abandon(clock.nowMs(), it, isWorkerSlow = false) }
-            call?.cancel()
+            attempts.cancel()
             finish(CLIENT_CLOSED_REQUEST, "caller-left") { }
         }
         exchange?.closeConnection()
@@ -328,7 +213,7 @@
         if (succeeds(step)) return
         if (!isFinished) {
             succeeds {
-                call?.cancel()
+                attempts.cancel()
                 trafficRequest?.let { controller.abandon(clock.nowMs(), it, isWorkerSlow = false) }
             }
             if (succeeds { respondLocally(LocalResponse.upstreamFailed("unexpected error")) }) return
@@ -347,25 +232,20 @@
             false
         }
 
+    private fun endLoanWait() {
+        val wait = loanWait
+        loanWait = null
+        wait?.cancel()
+    }
+
     /** Ends the timers and waits of the request; it is answered later if its turn has not come. */
     private fun endWork() {
         isFinished = true
         deadlineTimer?.remove()
-        loanWait?.cancel()
+        endLoanWait()
     }
 
-    /** A response that is complete; [respond] sends it. */
-    private class HeldResponse(
-        val status: Int,
-        val outcome: String,
-        val bodyBytes: Int,
-        val respond: (HttpServerExchange) -> Unit,
-    )
-
     private companion object {
-        /** A worker accepts a connection within a few milliseconds, in another region within a few tens of milliseconds. */
-        const val CONNECT_TIMEOUT_MS = 400L
-
         /** Status logged when the caller has closed its connection, so that no response is sent. */
         const val CLIENT_CLOSED_REQUEST = 499
 
@@ -376,12 +256,3 @@
         const val HELD_HEAD_BYTES = 1_024
     }
 }
-
-/** Headers of a caller that are not forwarded: its key, and those that only this host may set. Names are in lower case. */
-private fun reservedHeaders(headerNames: HttpHeaderNames): Set<String> =
-    setOf(
-        Headers.AUTHORIZATION_STRING.lowercase(),
-        headerNames.workspace.lowercase(),
-        headerNames.expectedWorker.lowercase(),
-        headerNames.deadline.lowercase(),
-    ) + RelayHeaders.names
