--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerHandler.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerHandler.kt
@@ -40,8 +40,12 @@
 ) : HttpHandler {
     private val controller = context.controller
     private val activeRequests = LinkedHashSet<CallerRequest>()
-    private val connections = CallerConnections(context.maxConnections) { context.metrics.countClosedIdleConnections(it) }
-
+    private val connections =
+        CallerConnections(
+            context.maxConnections,
+            ::hasRequestsAhead,
+            onIdleClosed = { context.metrics.countClosedIdleConnections(it) },
+        )
     private val slowCallers = SlowCallers(context.clock, context.metrics, context.log)
     private val pipelines = PipelineContext(ReadAheadLimit(), context.metrics, context.log, slowCallers, { isDraining }, ::openAhead)
     private var drainSchedule: DrainSchedule? = null
@@ -60,7 +64,12 @@
     }
 
     /** Notes how much callers have read of their responses; called several times a second. */
-    fun tick() = slowCallers.tick()
+    fun tick() {
+        slowCallers.tick()
+        pipelines.limit.notifyWaiting()
+        // Requests that were read ahead stay active until the response before them is read.
+        if (isDraining) slowCallers.closeStalled { hasRequestsAhead(it.connection) }
+    }
 
     override fun handleRequest(exchange: HttpServerExchange) {
         connections.onRequest(exchange)
@@ -146,6 +155,8 @@
         resolved: RouteResolution.Resolved,
     ) = CallerRequest(context, pipeline, head, id, body, resolved) { activeRequests.remove(it) }.also { activeRequests.add(it) }
 
+    private fun hasRequestsAhead(connection: ServerConnection) = connection.getAttachment(pipelineKey)?.hasRequestsAhead == true
+
     private fun pipelineOf(connection: ServerConnection): CallerPipeline =
         connection.getAttachment(pipelineKey) ?: CallerPipeline(connection, pipelines).also { pipeline ->
             connection.putAttachment(pipelineKey, pipeline)
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerPipeline.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerPipeline.kt
@@ -19,7 +19,7 @@
     val log: RequestLog,
     val slowCallers: SlowCallers,
     val isDraining: () -> Boolean,
-    val open: (pipeline: CallerPipeline, head: ReceivedHead) -> CallerRequest?,
+    val open: (pipeline: CallerPipeline, head: ReceivedHead) -> PipelinedRequest?,
 )
 
 /**
@@ -37,17 +37,27 @@
     private val limit = context.limit
     private val reader = PipelineReader(connection, limit, onBytes = { startRequests() }, onEndOfStream = { onDisconnected() })
     private val started = ArrayDeque<StartedRequest>()
-    private var current: CallerRequest? = null
+    private var current: PipelinedRequest? = null
     private var sending: HttpServerExchange? = null
 
     /** Size in bytes of the heads of the [started] requests, which are the first bytes that [reader] gets. */
     private var startedHeadBytes = 0
+
+    /** Index from which the end of the next head is searched, so that a head in small parts is not searched from its start for each. */
+    private var searchFrom = 0
     private var heldBytes = 0
     private var largestResponseBytes = 0
     private var mayStart = false
 
+    /** Starts requests in a turn of their own, since room is released while a request of another connection is being served. */
+    private val onRoom: () -> Unit = { loop.execute { if (current != null) startRequests() } }
+
+    /** Whether requests were read ahead that are not yet answered. */
+    val hasRequestsAhead: Boolean
+        get() = started.isNotEmpty()
+
     private class StartedRequest(
-        val request: CallerRequest,
+        val request: PipelinedRequest,
         val headBytes: Int,
     ) {
         var heldBytes = 0
@@ -59,11 +69,12 @@
 
     /** Reads on while [request] is in progress, in order to detect that the caller disconnects, and to start requests behind it. */
     fun watch(
-        request: CallerRequest,
+        request: PipelinedRequest,
         exchange: HttpServerExchange,
     ) {
         current = request
         mayStart = request.allowsOthersBehind && exchange.isPersistent
+        searchFrom = startedHeadBytes
         reader.start()
         startRequests()
     }
@@ -72,7 +83,7 @@
     fun beforeResponse(exchange: HttpServerExchange) {
         current = null
         sending = null
-        reader.stop()
+        stopReading()
         // Requests that were sent to a worker are answered before the connection is closed.
         if (context.isDraining() && started.isEmpty()) exchange.isPersistent = false
         if (!exchange.isPersistent) cancelStarted(CONNECTION_CLOSED)
@@ -89,7 +100,7 @@
     }
 
     /** Returns the request that was started for [head], which the server has read as the next one, or null to serve it as any other. */
-    fun take(head: ReceivedHead): CallerRequest? {
+    fun take(head: ReceivedHead): PipelinedRequest? {
         val next = started.removeFirstOrNull() ?: return null
         startedHeadBytes -= next.headBytes
         releaseHeld(next)
@@ -110,7 +121,7 @@
      * be repeated, then runs again in its turn.
      */
     fun hold(
-        request: CallerRequest,
+        request: PipelinedRequest,
         bytes: Int,
     ): Boolean {
         val entry = started.firstOrNull { it.request === request } ?: return false
@@ -131,38 +142,64 @@
 
     /** Cancels all requests behind the one in progress, because the connection was closed. */
     fun onClosed() {
-        reader.stop()
+        current = null
+        stopReading()
         sending?.let { context.slowCallers.remove(it) }
         sending = null
         cancelStarted(CALLER_LEFT)
     }
 
+    private fun stopReading() {
+        limit.stopWaiting(onRoom)
+        reader.stop()
+    }
+
     private fun onDisconnected() {
         val request = current
         current = null
+        limit.stopWaiting(onRoom)
         cancelStarted(CALLER_LEFT)
         request?.onCallerDisconnected()
     }
 
+    /** Starts the complete requests behind the one in progress, which must not end because of an error in one of them. */
+    @Suppress("TooGenericExceptionCaught")
     private fun startRequests() {
         if (reader.size < startedHeadBytes) return
-        while (mayStart && !context.isDraining() && hasRoom()) {
-            val parsed = PipelinedHeadParser.parse(reader.bytes, startedHeadBytes, reader.size)
-            if (parsed == PipelinedHead.Partial) return
-            val request = (parsed as? PipelinedHead.Complete)?.let { context.open(this, it.head) }
-            if (parsed !is PipelinedHead.Complete || request == null) {
-                mayStart = false
-                return
+        try {
+            while (mayStart && !context.isDraining() && hasRoom()) {
+                val parsed = PipelinedHeadParser.parse(reader.bytes, startedHeadBytes, reader.size, searchFrom)
+                if (parsed == PipelinedHead.Partial) {
+                    searchFrom = PipelinedHeadParser.nextSearchFrom(startedHeadBytes, reader.size)
+                    return
+                }
+                mayStart = parsed is PipelinedHead.Complete && start(parsed)
             }
-            started.addLast(StartedRequest(request, parsed.sizeBytes))
-            startedHeadBytes += parsed.sizeBytes
-            context.metrics.countReadAhead(ReadAheadEvent.STARTED)
-            context.log.readAhead(request.id, current?.id, started.size, parsed.sizeBytes)
-            request.startAhead()
+        } catch (e: RuntimeException) {
+            // What has not been started is left to the ordinary path, where the request fails in its position.
+            mayStart = false
+            context.log.readAheadFailed(current?.id, started.size, e)
         }
     }
 
-    private fun hasRoom() = limit.mayStart(started.size, started.count { it.isUnanswered }, heldBytes, largestResponseBytes)
+    /** Starts the request with the head that was [parsed]. Returns false if it must be left to the ordinary path. */
+    private fun start(parsed: PipelinedHead.Complete): Boolean {
+        val request = context.open(this, parsed.head) ?: return false
+        started.addLast(StartedRequest(request, parsed.sizeBytes))
+        startedHeadBytes += parsed.sizeBytes
+        searchFrom = startedHeadBytes
+        request.startAhead()
+        context.metrics.countReadAhead(ReadAheadEvent.STARTED)
+        context.log.readAhead(request.id, current?.id, started.size, parsed.sizeBytes)
+        return true
+    }
+
+    private fun hasRoom(): Boolean {
+        val unanswered = started.count { it.isUnanswered }
+        val hasRoom = limit.mayStart(started.size, unanswered, heldBytes, largestResponseBytes)
+        if (!hasRoom && reader.size > startedHeadBytes) limit.awaitStart(unanswered, largestResponseBytes, onRoom)
+        return hasRoom
+    }
 
     private fun cancelStarted(outcome: String) {
         startedHeadBytes = 0
