Let the reader of a zone ask the store often also while nothing changes

Change: watches of a reader wait for at most 0.4 s; its answers are used up to an age of 0.9 s. Result: SharedWatchTest with a change each 50 ms, 1 s and 10 s: one call of the host in 60 s beside the reader's.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/SharedWatch.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/SharedWatch.kt
@@ -8,6 +8,7 @@
 import io.kumquatmill.store.StoreReply
 import io.kumquatmill.traffic.fleet.ChangeSource
 import io.kumquatmill.traffic.fleet.PeerReport
+import kotlin.math.min
 
 /** Why a peer has sent no changes. */
 internal enum class NoChanges {
@@ -97,10 +98,13 @@
         return changes
     }
 
+    private fun limited(call: StoreCall.Watch): StoreCall.Watch =
+        source.watchMs(clock.nowMs(), isServing())?.let { call.copy(waitMs = min(call.waitMs, it)) } ?: call
+
     private fun watchStore(
         call: StoreCall.Watch,
         onResult: (Either<StoreError, StoreReply>) -> Unit,
-    ) = sendToStore(call) { result ->
+    ) = sendToStore(limited(call)) { result ->
         hasStoreFailed = result.isLeft()
         result.fold({ recent.clear() }) { reply ->
             if (source.isShared) recent.add(clock.nowMs(), call.afterRevision, reply as StoreReply.Changes)
@@ -109,7 +113,7 @@
     }
 
     companion object {
-        /** Longer than a reader collects changes and waits for the store, in a fleet whose workers report all the time. */
-        const val MAX_ANSWER_AGE_MS = 700L
+        /** Longer than a reader collects changes, waits for the store and gets its answer. */
+        const val MAX_ANSWER_AGE_MS = 900L
     }
 }
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/SharedWatchTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/store/SharedWatchTest.kt
@@ -19,7 +19,7 @@
 import kotlin.test.assertTrue
 
 /**
- * Runs a host and its reader in simulated time beside a store with a change every 50 ms. Guards against a host that misses a change, applies
+ * Runs a host and its reader in simulated time beside a store with a change every [changeMs]. Guards against a host that misses a change, applies
  * one too late because of its reader, or calls the store although its reader answers.
  */
 class SharedWatchTest {
@@ -27,6 +27,7 @@
     private var nowMs = 0L
     private val clock = MonotonicClock { nowMs }
     private var answersFromMs = 0L
+    private var changeMs = 50L
     private val hosts = listOf("reader" to 1.5, "host" to 0.2).map { (name, cores) -> SimulatedHost(name, cores) }
     private val reader = hosts.first()
     private val host = hosts.last()
@@ -68,9 +69,12 @@
             storeCalls++
             if (nowMs < answersFromMs) return runAfter(STORE_MS) { onResult(StoreError.Unavailable("down").left()) }
             if (isReaderCut && this === reader) return runAfter(call.waitMs) { onResult(StoreError.Unknown("silent").left()) }
-            val newest = nowMs / CHANGE_MS
-            val changes = (call.afterRevision + 1..newest).map { StoreChange("k$it", "v", it) }
-            runAfter(if (changes.isEmpty()) CHANGE_MS else STORE_MS) { onResult(StoreReply.Changes(changes, newest).right()) }
+            val untilChangeMs = (call.afterRevision + 1) * changeMs - nowMs
+            runAfter(STORE_MS + untilChangeMs.coerceIn(0, call.waitMs)) {
+                val newest = (nowMs - STORE_MS / 2) / changeMs
+                val changes = (call.afterRevision + 1..newest).map { StoreChange("k$it", "v", it) }
+                onResult(StoreReply.Changes(changes, newest).right())
+            }
         }
 
         fun start() {
@@ -116,19 +120,21 @@
         hosts.forEach { it.start() }
     }
 
-    private fun latestDelayMs() = host.applied.maxOf { (atMs, change) -> atMs - change.revision * CHANGE_MS }
+    private fun latestDelayMs() = host.applied.maxOf { (atMs, change) -> atMs - change.revision * changeMs }
 
     private fun checkComplete() = assertEquals((1L..host.applied.size).toList(), host.applied.map { it.second.revision })
 
     @Test
-    fun `changes come from the reader, complete and without calls to the store`() {
-        start()
-        run(60_000)
-        checkComplete()
-        assertTrue(host.storeCalls <= 1, "the host called the store ${host.storeCalls} times")
-        assertTrue(latestDelayMs() <= OWN_WATCH_MS, "a change was applied after ${latestDelayMs()} ms")
-        assertTrue(host.applied.size >= 60_000 / CHANGE_MS - 30)
-    }
+    fun `changes come from the reader, complete and without calls to the store, whether there are many or few`() =
+        listOf(50L, 1_000L, 10_000L).forEach { changeMs ->
+            val test = SharedWatchTest().also { it.changeMs = changeMs }
+            test.start()
+            test.run(60_000)
+            test.checkComplete()
+            assertTrue(test.host.storeCalls <= 1, "changes each $changeMs ms: the host called the store ${test.host.storeCalls} times")
+            assertTrue(test.latestDelayMs() <= OWN_WATCH_MS, "a change was applied after ${test.latestDelayMs()} ms")
+            assertTrue(test.host.applied.size >= (60_000 - OWN_WATCH_MS) / changeMs - 1)
+        }
 
     @Test
     fun `a reader that freezes or is cut off from the store at any moment delays a change by less than operators allow`() {
@@ -190,7 +196,6 @@
     }
 
     private companion object {
-        const val CHANGE_MS = 50L
         const val STORE_MS = 70L
         const val TIMEOUT_MS = 300L
         const val WAIT_MS = 2_800L
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/ChangeSource.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/ChangeSource.kt
@@ -25,7 +25,7 @@
         nowMs: Long,
         isServing: Boolean,
     ): PeerReport? {
-        if (!isShared || storeUntilMs?.let { nowMs < it } == true) return null
+        if (!isShared || isAskingStore(nowMs)) return null
         val first = zonePeers(nowMs).minWithOrNull(compareBy(rank) { it.sender }) ?: return null
         return first.takeUnless { isServing && rank.compare(fleet.self, it.sender) < 0 }
     }
@@ -35,16 +35,29 @@
         storeUntilMs = nowMs + settings.readerRetryMs
     }
 
+    /** Returns whether this host is the reader of its availability zone; [isServing] as in [reader]. */
+    fun isReader(
+        nowMs: Long,
+        isServing: Boolean,
+    ): Boolean = isShared && isServing && !isAskingStore(nowMs) && zonePeers(nowMs).isNotEmpty() && reader(nowMs, isServing = true) == null
+
+    /** Returns the longest wait in milliseconds of a watch of the store, or null if it is not limited. */
+    fun watchMs(
+        nowMs: Long,
+        isServing: Boolean,
+    ): Long? = settings.readerWatchMs.takeIf { isReader(nowMs, isServing) }
+
+    private fun isAskingStore(nowMs: Long) = storeUntilMs?.let { nowMs < it } == true
+
     /** Returns the time in milliseconds for which changes are collected before this host asks for them again. */
     fun batchMs(
         nowMs: Long,
         isServing: Boolean,
     ): Long =
         when {
-            !isShared || zonePeers(nowMs).isEmpty() -> fleet.changeBatchMs()
+            isReader(nowMs, isServing) -> settings.readerBatchMs
             reader(nowMs, isServing) != null -> settings.readerPollMs
-            storeUntilMs?.let { nowMs < it } == true || !isServing -> fleet.changeBatchMs()
-            else -> settings.readerBatchMs
+            else -> fleet.changeBatchMs()
         }
 
     private fun zonePeers(nowMs: Long): List<PeerReport> =
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/FleetSettings.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/FleetSettings.kt
@@ -31,7 +31,12 @@
      */
     val sharedWatchMinHosts: Int = 50,
     /** Time for which the reader of an availability zone collects changes. Few hosts are readers, so that their calls cost little. */
-    val readerBatchMs: Long = 400,
+    val readerBatchMs: Long = 300,
+    /**
+     * Longest wait of a reader's watch. Its peers learn from the age of the last answer that it has lost the store, so it asks often also
+     * while nothing changes.
+     */
+    val readerWatchMs: Long = 400,
     /** Time between two questions to the reader. With [readerBatchMs] it is shorter than [maxChangeBatchMs]. */
     val readerPollMs: Long = 700,
     /** Time for which a host asks the store itself after its reader did not answer; as long as a silent reader's report may be fresh. */
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/fleet/ChangeSourceTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/fleet/ChangeSourceTest.kt
@@ -47,8 +47,10 @@
     fun `the reader collects changes for a shorter time and asks nobody`() {
         fleetOf(98)
         fleet.onReport(0, report(host("h7")).copy(cores = 0.1))
-        assertEquals(400, source.batchMs(0, isServing = true))
+        assertEquals(300, source.batchMs(0, isServing = true))
+        assertEquals(400, source.watchMs(0, isServing = true))
         assertEquals(700, source.batchMs(0, isServing = false), "a host that does not serve is no reader")
+        assertNull(source.watchMs(0, isServing = false))
     }
 
     @Test
