Do not close slow callers early on a stop

Callers may read slowly, and one that pauses for a second may read on: closing its connection cuts a response that it would still get before the stop timeout. What is left at the stop timeout is cut as before.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerHandler.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerHandler.kt
@@ -67,8 +67,6 @@
     fun tick() {
         slowCallers.tick()
         pipelines.limit.notifyWaiting()
-        // Requests that were read ahead stay active until the response before them is read.
-        if (isDraining) slowCallers.closeStalled { hasRequestsAhead(it.connection) }
     }
 
     override fun handleRequest(exchange: HttpServerExchange) {
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/SlowCallers.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/SlowCallers.kt
@@ -36,26 +36,12 @@
         metrics.setUnreadResponseBytes(unread.totalBytes)
     }
 
-    /** Closes the connections of callers that have stopped to read a response for which [isAwaited] returns true. */
-    fun closeStalled(isAwaited: (HttpServerExchange) -> Boolean) =
-        unread.stalled(clock.nowMs(), STALLED_MS).filter(isAwaited).forEach { close(it, "it keeps a stopping host from exiting") }
-
     private fun closeSlowest() {
         tick()
-        unread.takeExcess().forEach { close(it, "responses that callers have not read take too much memory") }
-    }
-
-    private fun close(
-        exchange: HttpServerExchange,
-        reason: String,
-    ) {
-        metrics.countClosedSlowCaller()
-        log.slowCallerClosed(exchange.rawPath, exchange.responseBytesSent, exchange.responseContentLength, reason)
-        exchange.closeConnection()
-    }
-
-    private companion object {
-        /** A caller that reads takes further bytes within a round trip, also in another region and if packets are lost. */
-        const val STALLED_MS = 1_000L
+        unread.takeExcess().forEach { exchange ->
+            metrics.countClosedSlowCaller()
+            log.slowCallerClosed(exchange.rawPath, exchange.responseBytesSent, exchange.responseContentLength)
+            exchange.closeConnection()
+        }
     }
 }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/UnreadResponses.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/UnreadResponses.kt
@@ -56,12 +56,6 @@
         }
     }
 
-    /** Returns the responses of which callers have read nothing for at least [durationMs], as of the last call of [observe]. */
-    fun stalled(
-        nowMs: Long,
-        durationMs: Long,
-    ): List<K> = responses.filterValues { nowMs - it.readAtMs >= durationMs }.keys.toList()
-
     /** Removes and returns the responses whose connections must be closed so that the others fit. */
     fun takeExcess(): List<K> {
         val excess = ArrayList<K>()
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/RequestLog.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/log/RequestLog.kt
@@ -88,18 +88,17 @@
         .setCause(error)
         .log("unexpected error while reading ahead")
 
-    /** Logs that the connection of a request for [path] was closed after its caller had read [readBytes] of [bytes], and the [reason]. */
+    /** Logs that the connection of a request for [path] was closed after its caller had read [readBytes] of [bytes] of the response. */
     fun slowCallerClosed(
         path: String,
         readBytes: Long,
         bytes: Long,
-        reason: String,
     ) = logger
         .atWarn()
         .addKeyValue("path", path)
         .addKeyValue("readBytes", readBytes)
         .addKeyValue("bytes", bytes)
-        .log("connection of a slow caller closed: $reason")
+        .log("connection of a slow caller closed: responses that callers have not read take too much memory")
 
     /** Logs that the request [id] was started, but that the server has read a request with [method] and [path] at its position. */
     fun readAheadMismatched(
