Reserve the ports of test servers per process

Ports were chosen by opening and closing a socket, and used later. Test processes of other modules or builds could choose the same port in between, and ports from port 0 were also taken by outgoing connections. LeavingWorkerTest once failed with an address already in use.

ReservedPorts gives each process blocks of ports below the ephemeral range, which it holds by listening on the first port of the block until it ends.

--- a/kumquatmill-daemon/src/test/kotlin/io/kumquatmill/daemon/DaemonTest.kt
+++ b/kumquatmill-daemon/src/test/kotlin/io/kumquatmill/daemon/DaemonTest.kt
@@ -1,11 +1,11 @@
 package io.kumquatmill.daemon
 
 import io.kumquatmill.common.fleet.HostAddress
+import io.kumquatmill.common.net.ReservedPorts
 import io.kumquatmill.configuration.model.KeyHash
 import io.kumquatmill.node.event.NodeEvent
 import io.kumquatmill.settings.DaemonSettings
 import io.kumquatmill.settings.loadSettings
-import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
@@ -297,7 +297,7 @@
 
     private fun eventually(check: () -> Boolean): Boolean = (1..MAX_POLLS).any { check() || Thread.sleep(POLL_INTERVAL_MS).let { false } }
 
-    private fun freeAddress(): HostAddress = HostAddress("127.0.0.1", ServerSocket(0).use { it.localPort })
+    private fun freeAddress(): HostAddress = HostAddress("127.0.0.1", ReservedPorts.next())
 
     private companion object {
         const val KEY = "key-of-a-carer-1234"
--- a/kumquatmill-daemon/src/test/kotlin/io/kumquatmill/daemon/forward/ForwarderTest.kt
+++ b/kumquatmill-daemon/src/test/kotlin/io/kumquatmill/daemon/forward/ForwarderTest.kt
@@ -7,6 +7,7 @@
 import io.kumquatmill.common.id.RequestId
 import io.kumquatmill.common.id.UpstreamId
 import io.kumquatmill.common.id.WorkerId
+import io.kumquatmill.common.net.ReservedPorts
 import io.kumquatmill.daemon.ReceivedRequest
 import io.kumquatmill.daemon.ScriptedWorker
 import io.kumquatmill.daemon.caller.PendingRequest
@@ -174,9 +175,7 @@
 
     @Test
     fun `an attempt on a refused connection is reported as not sent`() {
-        val unusedPort = ServerSocket(0).use { it.localPort }
-
-        assertEquals(AttemptResult.NotSent, forwarderTo(HostAddress("127.0.0.1", unusedPort)).runAttempt())
+        assertEquals(AttemptResult.NotSent, forwarderTo(HostAddress("127.0.0.1", ReservedPorts.next())).runAttempt())
     }
 
     @Test
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/http/EventLoopHttpClientTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/http/EventLoopHttpClientTest.kt
@@ -1,6 +1,7 @@
 package io.kumquatmill.gateway.http
 
 import io.kumquatmill.common.fleet.HostAddress
+import io.kumquatmill.common.net.ReservedPorts
 import io.kumquatmill.common.time.MonotonicClock
 import io.kumquatmill.gateway.caller.HttpHeaderNames
 import io.kumquatmill.gateway.caller.classifyResponse
@@ -11,7 +12,6 @@
 import org.xnio.Options
 import org.xnio.Xnio
 import java.io.IOException
-import java.net.ServerSocket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.TimeUnit
@@ -278,7 +278,7 @@
 
     @Test
     fun `a refused connection is reported as not sent`() {
-        val port = ServerSocket(0).use { it.localPort }
+        val port = ReservedPorts.next()
         assertIs<CallResult.NotSent>(send(HostAddress("127.0.0.1", port)))
     }
 
@@ -309,7 +309,7 @@
 
     @Test
     fun `a probe tells whether a process listens at an address, and sends it nothing`() {
-        val port = ServerSocket(0).use { it.localPort }
+        val port = ReservedPorts.next()
         assertEquals(ProbeResult.REFUSED, probe(HostAddress("127.0.0.1", port)))
         assertEquals(true, assertIs<CallResult.NotSent>(send(HostAddress("127.0.0.1", port))).isRefused)
         withServer({ }) { server ->
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/peer/PeerSocketTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/peer/PeerSocketTest.kt
@@ -1,5 +1,6 @@
 package io.kumquatmill.gateway.peer
 
+import io.kumquatmill.common.net.ReservedPorts
 import io.kumquatmill.gateway.log.EventLog
 import io.kumquatmill.traffic.ratelimit.LoanGrant
 import java.net.DatagramPacket
@@ -13,7 +14,7 @@
 
 class PeerSocketTest {
     private val loopback = InetAddress.getByName("127.0.0.1")
-    private val port = DatagramSocket(0, loopback).use { it.localPort }
+    private val port = ReservedPorts.next()
 
     private fun grant(number: Long) = LoanGrant("h2", "alpha", 1.0, number)
 
--- a/kumquatmill-wire/src/test/kotlin/io/kumquatmill/wire/PeerTransportTest.kt
+++ b/kumquatmill-wire/src/test/kotlin/io/kumquatmill/wire/PeerTransportTest.kt
@@ -4,6 +4,7 @@
 import io.kumquatmill.common.fleet.HostAddress
 import io.kumquatmill.common.id.HostId
 import io.kumquatmill.common.id.Incarnation
+import io.kumquatmill.common.net.ReservedPorts
 import io.kumquatmill.membership.message.MembershipMessage
 import io.kumquatmill.node.message.PeerEnvelope
 import io.kumquatmill.node.message.PeerMessage
@@ -153,7 +154,7 @@
 
     private fun eventually(check: () -> Boolean): Boolean = (1..MAX_CHECKS).any { check() || Thread.sleep(CHECK_INTERVAL_MS).let { false } }
 
-    private fun freeAddress(): HostAddress = HostAddress("127.0.0.1", ServerSocket(0).use { it.localPort })
+    private fun freeAddress(): HostAddress = HostAddress("127.0.0.1", ReservedPorts.next())
 
     private companion object {
         const val TIMEOUT_MS = 5_000
