Share the code of the columns of workers in reports

Three classes repeated the tags, the check of lengths and the cut to 32 bits. The message of a column with a wrong length is now the same for all. A message recorded with the earlier code is a test: the encoded bytes are unchanged.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/LeavingColumns.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/LeavingColumns.kt
@@ -16,17 +16,17 @@
     @SerialName("a") private val agesMs: List<Int> = emptyList(),
 ) {
     init {
-        require(agesMs.size == tags.size) { "expected as many ages as tags, found ${agesMs.size} and ${tags.size}" }
+        requireSameLength(tags, agesMs)
         require(agesMs.all { it >= 0 }) { "expected no negative age" }
     }
 
-    fun toAges(): Map<WorkerTag, Long> = tags.indices.associate { WorkerTag(tags[it]) to agesMs[it].toLong() }
+    fun toAges(): Map<WorkerTag, Long> = valuesByTag(tags) { agesMs[it].toLong() }
 
     companion object {
         fun of(agesMs: Map<WorkerTag, Long>) =
             LeavingColumns(
-                tags = agesMs.keys.map { it.value },
-                agesMs = agesMs.values.map { it.coerceAtMost(Int.MAX_VALUE.toLong()).toInt() },
+                tags = agesMs.tagColumn(),
+                agesMs = agesMs.values.map { it.toColumnNumber() },
             )
     }
 }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/LoadColumns.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/LoadColumns.kt
@@ -19,21 +19,18 @@
     @SerialName("a") private val ages: List<Int> = emptyList(),
 ) {
     init {
-        require(requests.size == tags.size && ages.size == tags.size) {
-            "expected as many loads and ages as tags, found ${requests.size}, ${ages.size} and ${tags.size}"
-        }
+        requireSameLength(tags, requests, ages)
     }
 
     /** Throws [IllegalArgumentException] if a number is negative. */
-    fun toLoads(): Map<WorkerTag, SharedLoad> =
-        tags.indices.associate { WorkerTag(tags[it]) to SharedLoad(requests[it], ages[it].toLong() * AGE_UNIT_MS) }
+    fun toLoads(): Map<WorkerTag, SharedLoad> = valuesByTag(tags) { SharedLoad(requests[it], ages[it].toLong() * AGE_UNIT_MS) }
 
     companion object {
         fun of(loads: Map<WorkerTag, SharedLoad>) =
             LoadColumns(
-                tags = loads.keys.map { it.value },
+                tags = loads.tagColumn(),
                 requests = loads.values.map { it.requests },
-                ages = loads.values.map { (it.ageMs / AGE_UNIT_MS).coerceAtMost(Int.MAX_VALUE.toLong()).toInt() },
+                ages = loads.values.map { (it.ageMs / AGE_UNIT_MS).toColumnNumber() },
             )
 
         private const val AGE_UNIT_MS = 4L
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/WorkerLimitColumns.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/peer/WorkerLimitColumns.kt
@@ -20,16 +20,14 @@
     @SerialName("a") private val agesMs: List<Int> = emptyList(),
 ) {
     init {
-        require(limitsPerMille.size == tags.size && agesMs.size == tags.size) {
-            "expected as many limits and ages as tags, found ${tags.size}, ${limitsPerMille.size} and ${agesMs.size}"
-        }
+        requireSameLength(tags, limitsPerMille, agesMs)
         require(limitsPerMille.all { it >= NO_LIMIT } && agesMs.all { it >= 0 }) { "expected no negative limit or age" }
     }
 
     fun toObservations(): Map<WorkerTag, WorkerLimitObservation> =
-        tags.indices.associate { index ->
+        valuesByTag(tags) { index ->
             val limitPerS = limitsPerMille[index].takeIf { it != NO_LIMIT }?.let { it / PER_MILLE }
-            WorkerTag(tags[index]) to WorkerLimitObservation(limitPerS, agesMs[index].toLong())
+            WorkerLimitObservation(limitPerS, agesMs[index].toLong())
         }
 
     companion object {
@@ -42,9 +40,9 @@
         fun of(observations: Map<WorkerTag, WorkerLimitObservation>): WorkerLimitColumns {
             if (observations.isEmpty()) return EMPTY
             return WorkerLimitColumns(
-                tags = observations.keys.map { it.value },
+                tags = observations.tagColumn(),
                 limitsPerMille = observations.values.map { it.limitPerS?.let { limit -> (limit * PER_MILLE).roundToInt() } ?: NO_LIMIT },
-                agesMs = observations.values.map { it.ageMs.coerceAtMost(Int.MAX_VALUE.toLong()).toInt() },
+                agesMs = observations.values.map { it.ageMs.toColumnNumber() },
             )
         }
     }
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/peer/PeerMessageCodecTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/peer/PeerMessageCodecTest.kt
@@ -12,6 +12,7 @@
 import io.kumquatmill.traffic.ratelimit.LoanGrant
 import io.kumquatmill.traffic.ratelimit.LoanRequest
 import kotlinx.serialization.json.Json
+import java.util.HexFormat
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -160,6 +161,24 @@
         assertEquals(report(0), PeerMessageCodec.decode(unknownKey).report, "as an earlier build reads it")
     }
 
+    /** Guards against a change of the encoding of the columns that hosts with another build would not read. */
+    @Test
+    fun `rate limits, departures and loads of workers are encoded as in earlier builds`() {
+        val sent =
+            report(0).copy(
+                workerLimits = mapOf(WorkerTag(7) to WorkerLimitObservation(2.5, 120), WorkerTag(-8) to WorkerLimitObservation(null, 0)),
+                leavingWorkers = mapOf(WorkerTag(7) to 0L, WorkerTag(-9) to 10_000L),
+                workerLoads = mapOf(WorkerTag(7) to SharedLoad(90, 1_000), WorkerTag(-10) to SharedLoad(0, 4)),
+            )
+        val limits = "616cbf61749f0727ff616c9f1909c420ff61619f187800ffff"
+        val leaving = "6165bf61749f0728ff61619f00192710ffff"
+        val loads = "6175bf61749f0729ff61719f185a00ff61619f18fa01ffffffff"
+        val head =
+            "bf6172bf61686e66726f6e742d656173742d612d3161691b0000019af232b200616e184d61616831302e312e302e37617264" +
+                "65617374617a66656173742d6161761912676173f56177bf61749fff61649fff61719fffff61709f6e66726f6e742d776573742d612d32ff61640c"
+        assertEquals(head + limits + leaving + loads, HexFormat.of().formatHex(PeerMessageCodec.encode(PeerMessage(report = sent))))
+    }
+
     private fun crashReport(crashes: Int = 2) =
         CrashReport(
             crashes = (1..crashes).map { CrashReport.Crash(RequestFingerprint(Long.MIN_VALUE + it), WorkerTag(-it), 86_400_000, 90) },
