Remove demandFor, and send reports without loads to all peers in one step

Only tests used WorkspaceRateLimiter.demandFor; they use demandByPeer. A report without loads of workers is the same for all regions. StateCache.putHostRecord stands among the private functions.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerSynchronizer.kt
@@ -78,6 +78,7 @@
         report: PeerReport,
         peers: List<EntryHostInfo>,
     ) {
+        if (report.workerLoads.isEmpty()) return sendByDemand(report, peers)
         // Loads of workers concern the hosts of their region only.
         val (near, far) = peers.partition { it.region == report.region }
         sendByDemand(report, near)
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StateCache.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/StateCache.kt
@@ -157,14 +157,6 @@
     /** Returns the host records that can be decoded. */
     fun hosts(): List<EntryHostInfo> = hostRecords.values.toList()
 
-    private fun putHostRecord(entry: StoreEntry) {
-        try {
-            hostRecords[entry.key] = json.decodeFromString<EntryHostInfo>(entry.value)
-        } catch (_: IllegalArgumentException) {
-            hostRecords.remove(entry.key) // written by another version; that host is discovered from its reports
-        }
-    }
-
     /** Returns the state that the entries describe. */
     fun state(): SteeringState =
         SteeringState(
@@ -189,6 +181,14 @@
         if (entry.key.startsWith(keys.hostPrefix)) putHostRecord(entry)
     }
 
+    private fun putHostRecord(entry: StoreEntry) {
+        try {
+            hostRecords[entry.key] = json.decodeFromString<EntryHostInfo>(entry.value)
+        } catch (_: IllegalArgumentException) {
+            hostRecords.remove(entry.key) // written by another version; that host is discovered from its reports
+        }
+    }
+
     /** Applies a desired state. One that is unreadable or older never replaces a readable one, also not for peers that ask for it. */
     private fun putDesiredState(entry: StoreEntry) {
         val known = desired?.value
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/WorkspaceRateLimiter.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/WorkspaceRateLimiter.kt
@@ -179,17 +179,9 @@
     }
 
     /**
-     * Returns the part of [demandPerS] that is reported to [peer]. The demand of a workspace whose tokens are pooled concerns its pool
-     * hosts only; reports of a large fleet would otherwise consist of little else.
-     */
-    fun demandFor(
-        peer: EntryHostInfo,
-        demandPerS: Map<WorkspaceTag, Double>,
-    ): Map<WorkspaceTag, Double> = demandByPeer(listOf(peer), demandPerS).keys.single()
-
-    /**
-     * Returns the [peers] by the part of [demandPerS] that is reported to them, see [demandFor]. All but the pool hosts get the same part,
-     * so that a report is encoded only a few times for a large fleet.
+     * Returns the [peers] by the part of [demandPerS] that is reported to them. The demand of a workspace whose tokens are pooled concerns
+     * its pool hosts only; reports of a large fleet would otherwise consist of little else. All but the pool hosts get the same part, so
+     * that a report is encoded only a few times for a large fleet.
      */
     fun demandByPeer(
         peers: List<EntryHostInfo>,
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/ratelimit/RateLimitSimulationTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/ratelimit/RateLimitSimulationTest.kt
@@ -139,7 +139,8 @@
                     stalePeers = from.fleet.stalePeers(nowMs),
                 )
             hosts.filter { it !== from && it.isUp(nowMs) && isConnected(from, it) }.forEach { to ->
-                to.fleet.onReport(nowMs, report.copy(demandPerS = from.rateLimiter.demandFor(to.record, report.demandPerS)))
+                val byDemand = from.rateLimiter.demandByPeer(listOf(to.record), report.demandPerS)
+                to.fleet.onReport(nowMs, report.copy(demandPerS = byDemand.keys.single()))
             }
         }
 
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/ratelimit/TokenPoolSimulationTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/ratelimit/TokenPoolSimulationTest.kt
@@ -90,7 +90,8 @@
                         isServing = from != stoppedHost || nowMs < STOP_AT_MS,
                     )
                 fleets.forEachIndexed { to, fleet ->
-                    if (to != from) fleet.onReport(nowMs, report.copy(demandPerS = host.demandFor(infos[to], demandPerS)))
+                    val byDemand = host.demandByPeer(listOf(infos[to]), demandPerS)
+                    if (to != from) fleet.onReport(nowMs, report.copy(demandPerS = byDemand.keys.single()))
                 }
             }
 
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/ratelimit/WorkspaceRateLimiterTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/ratelimit/WorkspaceRateLimiterTest.kt
@@ -170,10 +170,12 @@
         val hosts = (1..20).map { Host(host("h$it", if (it % 2 == 0) "east-a" else "west-a"), 0, ratePerS = 10.0) }
         run(hosts, 4) { 1.0 }
         val demandPerS = hosts[0].rateLimiter.demandPerS(4_000)
-        val informed = hosts.drop(1).filter { hosts[0].rateLimiter.demandFor(it.record, demandPerS).isNotEmpty() }
+        val byDemand = hosts[0].rateLimiter.demandByPeer(hosts.drop(1).map { it.record }, demandPerS)
+        val informed = byDemand.filterKeys { it.isNotEmpty() }.values.flatten()
         val withShare = hosts.filter { it.rateLimiter.sharesPerMille().isNotEmpty() }
         assertEquals(2, withShare.size)
-        assertEquals(withShare - hosts[0], informed)
+        assertEquals((withShare - hosts[0]).map { it.record }, informed)
+        assertEquals(hosts.size - 1, byDemand.values.sumOf { it.size })
     }
 
     @Test
@@ -181,7 +183,8 @@
         val hosts = fleetOf(7)
         run(hosts, 4) { 5.0 }
         val demandPerS = hosts[0].rateLimiter.demandPerS(4_000)
-        assertTrue(hosts.drop(1).all { hosts[0].rateLimiter.demandFor(it.record, demandPerS) == demandPerS })
+        val peers = hosts.drop(1).map { it.record }
+        assertEquals(mapOf(demandPerS to peers), hosts[0].rateLimiter.demandByPeer(peers, demandPerS))
     }
 
     @Test
