Share the set-up of measurements, and build the scarcity patterns with less repetition

PeerReportCost and PlacementCost create their controller from the same zones, settings and empty state. ScarcityPatterns has one function for what both deployments have in common, and one for a profile.

--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/capacity/PeerReportCost.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/capacity/PeerReportCost.kt
@@ -1,16 +1,12 @@
 package io.kumquatmill.bench.capacity
 
-import io.kumquatmill.common.id.AvailabilityZoneId
-import io.kumquatmill.common.id.RegionId
 import io.kumquatmill.common.id.WorkspaceId
 import io.kumquatmill.gateway.peer.PeerMessage
 import io.kumquatmill.gateway.peer.PeerMessageCodec
 import io.kumquatmill.traffic.control.TrafficController
-import io.kumquatmill.traffic.control.TrafficSettings
 import io.kumquatmill.traffic.fleet.EntryHostInfo
 import io.kumquatmill.traffic.fleet.PeerReport
 import io.kumquatmill.traffic.fleet.WorkspaceTag
-import io.kumquatmill.traffic.model.DesiredState
 import io.kumquatmill.traffic.model.SteeringState
 import io.kumquatmill.traffic.model.Workspace
 
@@ -18,7 +14,6 @@
 internal class PeerReportCost(
     private val hostCounts: List<Int> = Sizes.entryHostCounts,
 ) {
-    private val regionByZone = (0 until ZONES).associate { AvailabilityZoneId("zone-$it") to RegionId("region-${it % REGIONS}") }
     private val workspaces =
         (0 until WORKSPACES).map { index ->
             // A few workspaces are large; the rate of the others is less than two requests a second and host in a fleet of 34.
@@ -80,11 +75,12 @@
     }
 
     private fun host(index: Int) =
-        EntryHostInfo("host-$index", "10.0.${index / HOSTS_PER_NET}.${index % HOSTS_PER_NET}", region(index), zone(index))
-
-    private fun zone(index: Int) = "zone-${index % ZONES}"
-
-    private fun region(index: Int) = "region-${index % ZONES % REGIONS}"
+        EntryHostInfo(
+            "host-$index",
+            "10.0.${index / HOSTS_PER_NET}.${index % HOSTS_PER_NET}",
+            MeasuredController.region(index),
+            MeasuredController.zone(index),
+        )
 
     private fun report(
         info: EntryHostInfo,
@@ -108,33 +104,14 @@
     }
 
     private fun controller(infos: List<EntryHostInfo>): TrafficController {
-        val desired =
-            DesiredState(
-                version = 1,
-                routes = emptyList(),
-                workspaces = workspaces,
-                isKeyRequired = true,
-                upstreams = emptyMap(),
-                maxBodyBytes = 1_000_000,
-            )
-        val settings =
-            TrafficSettings(
-                regionByZone,
-                retryRatio = 0.2,
-                retryReserve = 50.0,
-                retryWindowMs = 10_000,
-                coldRateFactor = 1.5,
-                coldRateSlack = 8.0,
-            )
-        return TrafficController(infos.first(), settings).apply {
+        val desired = MeasuredController.emptyState.copy(workspaces = workspaces, isKeyRequired = true)
+        return MeasuredController.create(infos.first()).apply {
             updateHosts(0, infos)
             update(0, SteeringState(desired, emptyMap(), emptySet()))
         }
     }
 
     private companion object {
-        const val ZONES = 6
-        const val REGIONS = 3
         const val WORKSPACES = 80
         const val LARGE_WORKSPACES = 4
         const val LARGE_RATE_PER_S = 300.0
--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/capacity/PlacementCost.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/capacity/PlacementCost.kt
@@ -2,16 +2,13 @@
 
 import io.kumquatmill.common.fleet.HostAddress
 import io.kumquatmill.common.id.AvailabilityZoneId
-import io.kumquatmill.common.id.RegionId
 import io.kumquatmill.common.id.RouteId
 import io.kumquatmill.common.id.UpstreamId
 import io.kumquatmill.common.id.WorkerId
 import io.kumquatmill.traffic.control.RouteResolution
 import io.kumquatmill.traffic.control.TrafficController
-import io.kumquatmill.traffic.control.TrafficSettings
 import io.kumquatmill.traffic.crash.RequestFingerprint
 import io.kumquatmill.traffic.fleet.EntryHostInfo
-import io.kumquatmill.traffic.model.DesiredState
 import io.kumquatmill.traffic.model.SteeringState
 import io.kumquatmill.traffic.model.TrafficRoute
 import io.kumquatmill.traffic.model.Upstream
@@ -24,7 +21,6 @@
 ) {
     private val upstream = UpstreamId("catalogue")
     private val self = EntryHostInfo("h1", "10.0.0.1", "region-0", "zone-0")
-    private val regionByZone = (0 until ZONES).associate { AvailabilityZoneId("zone-$it") to RegionId("region-${it % REGIONS}") }
     private val route =
         TrafficRoute(
             id = RouteId("pages"),
@@ -80,25 +76,9 @@
 
     private fun controller(workers: Int): TrafficController {
         val entries = (0 until workers).map(::worker)
-        val desired =
-            DesiredState(
-                version = 1,
-                routes = listOf(route),
-                workspaces = emptyList(),
-                isKeyRequired = false,
-                upstreams = mapOf(upstream to Upstream(upstream, maxConnections = 4_000, coldMs = 0, coldRatePerS = 0.0)),
-                maxBodyBytes = 1_000_000,
-            )
-        val settings =
-            TrafficSettings(
-                regionByZone,
-                retryRatio = 0.2,
-                retryReserve = 50.0,
-                retryWindowMs = 10_000,
-                coldRateFactor = 1.5,
-                coldRateSlack = 8.0,
-            )
-        return TrafficController(self, settings).apply { update(0, SteeringState(desired, entries.associateBy { it.id }, emptySet())) }
+        val upstreams = mapOf(upstream to Upstream(upstream, maxConnections = 4_000, coldMs = 0, coldRatePerS = 0.0))
+        val desired = MeasuredController.emptyState.copy(routes = listOf(route), upstreams = upstreams)
+        return MeasuredController.create(self).apply { update(0, SteeringState(desired, entries.associateBy { it.id }, emptySet())) }
     }
 
     private fun worker(index: Int) =
@@ -106,7 +86,7 @@
             id = WorkerId("worker-$index"),
             upstream = upstream,
             address = HostAddress("10.0.0.2", FIRST_PORT + index),
-            availabilityZone = AvailabilityZoneId("zone-${index % ZONES}"),
+            availabilityZone = AvailabilityZoneId(MeasuredController.zone(index)),
             slots = 9,
             isDraining = false,
             warmUpRemainingMs = 0,
@@ -115,8 +95,6 @@
         )
 
     private companion object {
-        const val ZONES = 6
-        const val REGIONS = 3
         const val WARM_UP_CALLS = 40_000
         const val CALLS = 40_000
         const val KEYS = 300
--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/ScarcityPatterns.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/ScarcityPatterns.kt
@@ -11,132 +11,122 @@
     private val regionByZone =
         mapOf("east-a" to "east", "east-b" to "east", "west-a" to "west", "west-b" to "west", "north-a" to "north", "north-b" to "north")
     private val workspacePriorities = listOf(0, 1, 1, 1, 2, 2)
+    private val lectureRequests =
+        listOf(
+            profile(
+                "catalogue",
+                perS = 701.0,
+                serviceMs = 2_243.0,
+                targetMs = 1_558,
+                deadlineMs = 12_380,
+                benefits = 0.92 to 0.18,
+                priority = 1,
+            ),
+            profile(
+                "enrolment",
+                perS = 325.0,
+                serviceMs = 2_906.0,
+                targetMs = 4_051,
+                deadlineMs = 15_191,
+                benefits = 0.92 to 0.28,
+                priority = 2,
+            ).copy(isIdempotent = false),
+            profile(
+                "archive",
+                perS = 99.0,
+                serviceMs = 1_791.0,
+                targetMs = 1_339,
+                deadlineMs = 11_157,
+                benefits = 0.92 to 0.18,
+                priority = 1,
+            ).copy(isBulk = true),
+            profile("playback", perS = 274.0, serviceMs = 876.0, targetMs = 548, deadlineMs = 4_383, benefits = 3.5 to 0.28, priority = 0),
+        )
+    private val photoRequests =
+        listOf(
+            profile("verdict", perS = 453.0, serviceMs = 748.0, targetMs = 651, deadlineMs = 4_343, benefits = 1.0 to 0.2, priority = 2),
+            profile("reject", perS = 209.0, serviceMs = 981.0, targetMs = 856, deadlineMs = 6_417, benefits = 2.0 to 0.4, priority = 1)
+                .copy(isIdempotent = false),
+            profile("archive", perS = 62.0, serviceMs = 654.0, targetMs = 803, deadlineMs = 4_836, benefits = 1.0 to 0.2, priority = 2)
+                .copy(isBulk = true),
+            profile(
+                "report",
+                perS = 100.0,
+                serviceMs = 3_009.0,
+                targetMs = 2_582,
+                deadlineMs = 20_377,
+                benefits = 1.0 to 0.2,
+                priority = 2,
+            ),
+        ).map { it.copy(slowFraction = SLOW_REQUEST_FRACTION) }
 
     /** Like M: a region has a fifth of the workers of another one, and the load exceeds what the workers can handle. */
     fun lectures(hosts: Int): LoadPattern =
-        LoadPattern(
+        pattern(
             name = "lectures-$hosts",
-            regionByZone = regionByZone,
             hosts = hosts,
             workersByZone = workersByZone(large = 15, small = 3),
             workerProfile = WorkerProfile(slots = 9, queueCapacity = 24, warmObjectCapacity = 35),
-            requestProfiles =
-                listOf(
-                    RequestProfile(
-                        name = "catalogue",
-                        requestsPerS = 701.0 * LECTURES_LOAD,
-                        objectsPerZone = OBJECTS_PER_ZONE,
-                        coldServiceTimeMs = 2_243.0,
-                        targetLatencyMs = 1_558,
-                        deadlineMs = 12_380,
-                        benefit = 0.92,
-                        lateBenefit = 0.18,
-                        priority = 1,
-                    ),
-                    RequestProfile(
-                        name = "enrolment",
-                        requestsPerS = 325.0 * LECTURES_LOAD,
-                        objectsPerZone = OBJECTS_PER_ZONE,
-                        coldServiceTimeMs = 2_906.0,
-                        targetLatencyMs = 4_051,
-                        deadlineMs = 15_191,
-                        benefit = 0.92,
-                        lateBenefit = 0.28,
-                        priority = 2,
-                    ).copy(isIdempotent = false),
-                    RequestProfile(
-                        name = "archive",
-                        requestsPerS = 99.0 * LECTURES_LOAD,
-                        objectsPerZone = OBJECTS_PER_ZONE,
-                        coldServiceTimeMs = 1_791.0,
-                        targetLatencyMs = 1_339,
-                        deadlineMs = 11_157,
-                        benefit = 0.92,
-                        lateBenefit = 0.18,
-                        priority = 1,
-                    ).copy(isBulk = true),
-                    RequestProfile(
-                        name = "playback",
-                        requestsPerS = 274.0 * LECTURES_LOAD,
-                        objectsPerZone = OBJECTS_PER_ZONE,
-                        coldServiceTimeMs = 876.0,
-                        targetLatencyMs = 548,
-                        deadlineMs = 4_383,
-                        benefit = 3.5,
-                        lateBenefit = 0.28,
-                        priority = 0,
-                    ),
-                ),
-            durationMs = DURATION_MS,
-            workspacePriorities = workspacePriorities,
-            demandFactor = ::burst,
+            load = LECTURES_LOAD,
+            requestProfiles = lectureRequests,
         )
 
     /** Like P: 15 % of the workers are 2.5 times slower than usual, others every 600 ms, and 3 % of the requests take 7 times as long. */
     fun photos(hosts: Int): LoadPattern =
-        LoadPattern(
+        pattern(
             name = "photos-$hosts",
-            regionByZone = regionByZone,
             hosts = hosts,
             workersByZone = workersByZone(large = 20, small = 8),
             workerProfile = WorkerProfile(slots = 4, queueCapacity = 16, warmObjectCapacity = 35),
-            requestProfiles =
-                listOf(
-                    RequestProfile(
-                        name = "verdict",
-                        requestsPerS = 453.0 * PHOTOS_LOAD,
-                        objectsPerZone = OBJECTS_PER_ZONE,
-                        coldServiceTimeMs = 748.0,
-                        targetLatencyMs = 651,
-                        deadlineMs = 4_343,
-                        benefit = 1.0,
-                        lateBenefit = 0.2,
-                        priority = 2,
-                    ),
-                    RequestProfile(
-                        name = "reject",
-                        requestsPerS = 209.0 * PHOTOS_LOAD,
-                        objectsPerZone = OBJECTS_PER_ZONE,
-                        coldServiceTimeMs = 981.0,
-                        targetLatencyMs = 856,
-                        deadlineMs = 6_417,
-                        benefit = 2.0,
-                        lateBenefit = 0.4,
-                        priority = 1,
-                    ).copy(isIdempotent = false),
-                    RequestProfile(
-                        name = "archive",
-                        requestsPerS = 62.0 * PHOTOS_LOAD,
-                        objectsPerZone = OBJECTS_PER_ZONE,
-                        coldServiceTimeMs = 654.0,
-                        targetLatencyMs = 803,
-                        deadlineMs = 4_836,
-                        benefit = 1.0,
-                        lateBenefit = 0.2,
-                        priority = 2,
-                    ).copy(isBulk = true),
-                    RequestProfile(
-                        name = "report",
-                        requestsPerS = 100.0 * PHOTOS_LOAD,
-                        objectsPerZone = OBJECTS_PER_ZONE,
-                        coldServiceTimeMs = 3_009.0,
-                        targetLatencyMs = 2_582,
-                        deadlineMs = 20_377,
-                        benefit = 1.0,
-                        lateBenefit = 0.2,
-                        priority = 2,
-                    ),
-                ).map { it.copy(slowFraction = SLOW_REQUEST_FRACTION) },
-            durationMs = DURATION_MS,
-            workspacePriorities = workspacePriorities,
-            demandFactor = ::burst,
-            slownessFactor = { worker, nowMs -> if (isSlow(worker, nowMs)) SLOW_WORKER_FACTOR else 1.0 },
-        )
+            load = PHOTOS_LOAD,
+            requestProfiles = photoRequests,
+        ).copy(slownessFactor = { worker, nowMs -> if (isSlow(worker, nowMs)) SLOW_WORKER_FACTOR else 1.0 })
 
     private val hostCounts = listOf(SMALL_FLEET, MEDIUM_FLEET, LARGE_FLEET)
 
     val all = hostCounts.map(::lectures) + hostCounts.map(::photos)
 
+    /** Returns a pattern whose zones each have [load] times the requests per second of [requestProfiles]. */
+    private fun pattern(
+        name: String,
+        hosts: Int,
+        workersByZone: Map<String, Int>,
+        workerProfile: WorkerProfile,
+        load: Double,
+        requestProfiles: List<RequestProfile>,
+    ) = LoadPattern(
+        name = name,
+        regionByZone = regionByZone,
+        hosts = hosts,
+        workersByZone = workersByZone,
+        workerProfile = workerProfile,
+        requestProfiles = requestProfiles.map { it.copy(requestsPerS = it.requestsPerS * load) },
+        durationMs = DURATION_MS,
+        workspacePriorities = workspacePriorities,
+        demandFactor = ::burst,
+    )
+
+    /** Returns a profile with the requests per second of the deployment, and the benefits of a response in time and of a late one. */
+    private fun profile(
+        name: String,
+        perS: Double,
+        serviceMs: Double,
+        targetMs: Long,
+        deadlineMs: Long,
+        benefits: Pair<Double, Double>,
+        priority: Int,
+    ) = RequestProfile(
+        name = name,
+        requestsPerS = perS,
+        objectsPerZone = OBJECTS_PER_ZONE,
+        coldServiceTimeMs = serviceMs,
+        targetLatencyMs = targetMs,
+        deadlineMs = deadlineMs,
+        benefit = benefits.first,
+        lateBenefit = benefits.second,
+        priority = priority,
+    )
+
     /** The load is moderate at first, so that workers have objects cached, and exceeds the capacity for most of the time. */
     private fun burst(
         @Suppress("UNUSED_PARAMETER") zone: String,
