Split the decision on a request into a read-only part and one that records

Cause: an explanation of a decision must use the classes that decide and must not change what they decide later. Several of their reads changed state: tokens and loans, the turn among upstreams, the use of a quarantine, refills of buckets, the first estimate of a route.

A read of an unused route's service time no longer stores the estimate, so an edited target latency applies until the first response.

--- a/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/bucket/TokenBucket.kt
+++ b/kumquatmill-limits/src/main/kotlin/io/kumquatmill/limits/bucket/TokenBucket.kt
@@ -33,8 +33,7 @@
     /** Adds the tokens accrued since the last refill. */
     fun refill(nowMs: Long) {
         if (nowMs <= refilledAtMs) return
-        val accrued = (nowMs - refilledAtMs) * ratePerS / MILLIS_PER_SECOND
-        level = min(capacity, level + accrued)
+        level = peekLevel(nowMs)
         refilledAtMs = nowMs
     }
 
@@ -107,7 +106,15 @@
         amount: Double,
     ): Long? {
         refill(nowMs)
-        val missing = amount - level
+        return peekTimeUntilAvailableMs(nowMs, amount)
+    }
+
+    /** Returns what [timeUntilAvailableMs] does, without a refill that would be stored. */
+    fun peekTimeUntilAvailableMs(
+        nowMs: Long,
+        amount: Double,
+    ): Long? {
+        val missing = amount - peekLevel(nowMs)
         return when {
             missing <= ROUNDING_TOLERANCE -> 0
             amount > capacity + ROUNDING_TOLERANCE || ratePerS <= 0.0 -> null
@@ -115,6 +122,16 @@
         }
     }
 
+    /** Returns the number of tokens at [nowMs], without a refill that would be stored. */
+    fun peekLevel(nowMs: Long): Double {
+        if (nowMs <= refilledAtMs) return level
+        val accrued = (nowMs - refilledAtMs) * ratePerS / MILLIS_PER_SECOND
+        return min(capacity, level + accrued)
+    }
+
+    /** Returns a separate bucket with the rate, capacity and tokens that this one has at [nowMs]. */
+    fun copyAt(nowMs: Long): TokenBucket = TokenBucket(ratePerS, capacity, nowMs, peekLevel(nowMs))
+
     companion object {
         /** Tolerance for floating-point rounding errors when token counts are compared. */
         const val ROUNDING_TOLERANCE: Double = 1e-6
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/NextAttempt.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/NextAttempt.kt
@@ -10,6 +10,7 @@
 import io.kumquatmill.traffic.placement.Placement
 import io.kumquatmill.traffic.placement.PlacementChoice
 import io.kumquatmill.traffic.placement.PlacementQuery
+import io.kumquatmill.traffic.placement.PreviewedWorker
 import io.kumquatmill.traffic.placement.TrackedWorker
 import io.kumquatmill.traffic.ratelimit.WorkspaceRateLimiter
 import io.kumquatmill.traffic.reach.RelayPeers
@@ -42,30 +43,66 @@
         lastFailure: RequestAction?,
         isBudgetExempt: Boolean = false,
     ): RequestAction {
-        val isExhausted =
-            request.possibleExecutions >= request.route.maxAttempts || request.attempts >= request.route.maxAttempts + EXTRA_ATTEMPTS
-        crashingRequests.quarantinedForMs(nowMs, request.fingerprint)?.let {
-            return lastFailure ?: refuse(nowMs, request, RefusalCause.QUARANTINED, it)
-        }
         val query = queryOf(nowMs, request)
-        if (isExhausted) return lastFailure ?: refuse(nowMs, request, RefusalCause.RETRIES_EXHAUSTED, retryAfterMs(nowMs, query))
-        if (query.timeLeftMs < MIN_TIME_LEFT_MS) {
-            return lastFailure ?: refuse(nowMs, request, RefusalCause.TOO_LATE, retryAfterMs(nowMs, query))
+        refusalBeforeChoice(nowMs, request, query, crashingRequests.quarantinedForMs(nowMs, request.fingerprint))?.let {
+            return lastFailure ?: refuse(nowMs, request, it)
         }
         val choice = placement.choose(nowMs, query)
         recordDecision(nowMs, request, choice)
         return when (choice) {
-            is PlacementChoice.NoWorker -> lastFailure ?: refuse(nowMs, request, RefusalCause.NO_WORKER, NO_WORKER_RETRY_AFTER_MS)
-            is PlacementChoice.NoCapacity -> lastFailure ?: refuse(nowMs, request, RefusalCause.NO_CAPACITY, choice.retryAfterMs)
+            is PlacementChoice.None -> lastFailure ?: refuse(nowMs, request, refusalOf(choice))
             is PlacementChoice.Chosen ->
                 if (maySend(nowMs, request, isBudgetExempt)) {
                     send(nowMs, request, query, choice)
                 } else {
-                    lastFailure ?: refuse(nowMs, request, RefusalCause.RETRIES_EXHAUSTED, retryAfterMs(nowMs, query))
+                    lastFailure ?: refuse(nowMs, request, RequestAction.Refuse(RefusalCause.RETRIES_EXHAUSTED, retryAfterMs(nowMs, query)))
                 }
         }
     }
 
+    /** Returns how [next] would decide on the first attempt of [request] now, without recording anything. */
+    fun preview(
+        nowMs: Long,
+        request: TrafficRequest,
+    ): PreviewedOutcome {
+        val query = queryOf(nowMs, request).copy(isPreview = true)
+        val quarantinedForMs = crashingRequests.peekQuarantinedForMs(nowMs, request.fingerprint)
+        refusalBeforeChoice(nowMs, request, query, quarantinedForMs)?.let { return PreviewedOutcome.Refused(it) }
+        return when (val choice = placement.choose(nowMs, query)) {
+            is PlacementChoice.None -> PreviewedOutcome.Refused(refusalOf(choice))
+            is PlacementChoice.Chosen -> PreviewedOutcome.Sent(choice, isHostCutOff = reach.isCutOff)
+        }
+    }
+
+    /** Returns all workers of the upstream of [request], which was not sent yet, as the next attempt sees them. */
+    fun previewWorkers(
+        nowMs: Long,
+        request: TrafficRequest,
+    ): List<PreviewedWorker> = placement.preview(nowMs, queryOf(nowMs, request).copy(isPreview = true))
+
+    /** Returns the refusal of a [request] for which no worker need be chosen, or null if it may be sent. */
+    private fun refusalBeforeChoice(
+        nowMs: Long,
+        request: TrafficRequest,
+        query: PlacementQuery,
+        quarantinedForMs: Long?,
+    ): RequestAction.Refuse? {
+        val isExhausted =
+            request.possibleExecutions >= request.route.maxAttempts || request.attempts >= request.route.maxAttempts + EXTRA_ATTEMPTS
+        return when {
+            quarantinedForMs != null -> RequestAction.Refuse(RefusalCause.QUARANTINED, quarantinedForMs)
+            isExhausted -> RequestAction.Refuse(RefusalCause.RETRIES_EXHAUSTED, retryAfterMs(nowMs, query))
+            query.timeLeftMs < MIN_TIME_LEFT_MS -> RequestAction.Refuse(RefusalCause.TOO_LATE, retryAfterMs(nowMs, query))
+            else -> null
+        }
+    }
+
+    private fun refusalOf(choice: PlacementChoice.None): RequestAction.Refuse =
+        when (choice) {
+            is PlacementChoice.NoWorker -> RequestAction.Refuse(RefusalCause.NO_WORKER, NO_WORKER_RETRY_AFTER_MS)
+            is PlacementChoice.NoCapacity -> RequestAction.Refuse(RefusalCause.NO_CAPACITY, choice.retryAfterMs)
+        }
+
     /** Records the decision of the admission by cost on a request that arrives; further attempts are no new demand. */
     private fun recordDecision(
         nowMs: Long,
@@ -139,12 +176,11 @@
     private fun refuse(
         nowMs: Long,
         request: TrafficRequest,
-        cause: RefusalCause,
-        retryAfterMs: Long,
+        refusal: RequestAction.Refuse,
     ): RequestAction.Refuse {
         // The token of a request that was never sent is not refunded: otherwise a workspace could exceed its rate endlessly.
         if (request.attempts > 0) request.workspace?.let { rateLimiter.refund(nowMs, it.id) }
-        return RequestAction.Refuse(cause, retryAfterMs)
+        return refusal
     }
 
     private fun queryOf(
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/TrafficController.kt
@@ -47,6 +47,7 @@
         RequestAdmission(parts.rateLimiter, parts.crashingRequests, parts.capacity) { nowMs, request ->
             nextAttempt.next(nowMs, request, lastFailure = null)
         }
+    private val explainer = RequestExplainer(admission, nextAttempt, parts.rateLimiter)
     private val results =
         with(parts) {
             AttemptResults(placement, workerLimits, crashingRequests, reach, relays, leaving, nextAttempt, sharedLoads, capacity) {
@@ -239,6 +240,15 @@
         fingerprint: RequestFingerprint,
     ): Pair<TrafficRequest?, RequestAction> = admission.begin(nowMs, resolved, affinityKey, requestId, deadlineMs, fingerprint)
 
+    /**
+     * Returns what [resolve] and [begin] would decide on [explained] if it came now without a deadline and without a body. It changes no
+     * later decision. Without an affinity key it shows one of many ids, by which such requests are spread over the workers.
+     */
+    fun explain(
+        nowMs: Long,
+        explained: ExplainedRequest,
+    ): RequestPreview = explainer.explain(nowMs, explained)
+
     /** Continues [request] after a [RequestAction.Wait]; each wait is continued once. */
     fun resume(
         nowMs: Long,
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/crash/CrashRecords.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/crash/CrashRecords.kt
@@ -34,9 +34,17 @@
     fun quarantinedForMs(
         nowMs: Long,
         fingerprint: RequestFingerprint,
+    ): Long? {
+        records[fingerprint]?.takeIf { it.isQuarantined }?.lastUsedAtMs = nowMs
+        return peekQuarantinedForMs(nowMs, fingerprint)
+    }
+
+    /** Returns what [quarantinedForMs] does, without recording that the request came again. */
+    fun peekQuarantinedForMs(
+        nowMs: Long,
+        fingerprint: RequestFingerprint,
     ): Long? {
         val record = records[fingerprint]?.takeIf { it.isQuarantined } ?: return null
-        record.lastUsedAtMs = nowMs
         val spaced = record.spacedCrashes()
         return max(1, spaced[spaced.size - settings.crashesToQuarantine].endedAtMs + settings.countedMs - nowMs)
     }
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/crash/CrashingRequests.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/crash/CrashingRequests.kt
@@ -33,6 +33,12 @@
         fingerprint: RequestFingerprint,
     ): Long? = records.quarantinedForMs(nowMs, fingerprint)
 
+    /** Returns what [quarantinedForMs] does, without recording that the request came again. */
+    fun peekQuarantinedForMs(
+        nowMs: Long,
+        fingerprint: RequestFingerprint,
+    ): Long? = records.peekQuarantinedForMs(nowMs, fingerprint)
+
     /** Returns whether a worker has ended under the request, which no response has cleared since. */
     fun isSuspected(fingerprint: RequestFingerprint): Boolean = records.crashCount(fingerprint) > 0
 
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
@@ -78,6 +78,44 @@
         return best
     }
 
+    /**
+     * Returns all workers of the upstream of [query], the most preferred first and those in evacuated zones last, each with the reason why
+     * [choose] does not consider it. Of a request without an attempt so far.
+     */
+    internal fun preview(
+        nowMs: Long,
+        query: PlacementQuery,
+    ): List<PreviewedWorker> {
+        val inUse = workers.workersOf(query.upstream)
+        val ranked = ranking(query.upstream).first(query.affinityHash, inUse.size, isShared = false) { true }
+        val usesToldLeaving = best(nowMs, query, isToldLeaving = false) == null
+        val availableBefore = HashMap<Boolean, Int>()
+        val previewed =
+            ranked.map { worker ->
+                val isToldLeaving = workers.isToldLeaving(nowMs, worker)
+                val rank = availableBefore[isToldLeaving] ?: 0
+                val unavailable = ineligibility(worker, query) ?: worker.obstacle(nowMs)
+                if (unavailable == null) availableBefore[isToldLeaving] = rank + 1
+                val candidate = candidate(nowMs, query, worker, rank)
+                val obstacle =
+                    when {
+                        unavailable != null -> unavailable
+                        isToldLeaving && !usesToldLeaving -> WorkerObstacle.REPORTED_LEAVING
+                        rank >= settings.maxCandidates -> WorkerObstacle.NOT_PREFERRED
+                        !candidate.acceptsKey -> WorkerObstacle.KEY_NOT_CACHED
+                        !isInTime(query, candidate) -> WorkerObstacle.WAIT_TOO_LONG
+                        else -> null
+                    }
+                PreviewedWorker(worker, candidate.waitMs, candidate.serviceMs, obstacle)
+            }
+        val evacuated =
+            workers.evacuatedWorkersOf(query.upstream).sortedBy { it.entry.id.value }.map { worker ->
+                val candidate = candidate(nowMs, query, worker, rank = ranked.size)
+                PreviewedWorker(worker, candidate.waitMs, candidate.serviceMs, WorkerObstacle.EVACUATED)
+            }
+        return previewed + evacuated
+    }
+
     /** Records that the request of [query] was sent to [worker]. */
     fun onSent(
         nowMs: Long,
@@ -125,7 +163,17 @@
     private fun isEligible(
         worker: TrackedWorker,
         query: PlacementQuery,
-    ): Boolean = !worker.isLeaving && (query.homeRegions == null || regionOf(worker) in query.homeRegions)
+    ): Boolean = ineligibility(worker, query) == null
+
+    private fun ineligibility(
+        worker: TrackedWorker,
+        query: PlacementQuery,
+    ): WorkerObstacle? =
+        when {
+            worker.isLeaving -> WorkerObstacle.DRAINING
+            query.homeRegions != null && regionOf(worker) !in query.homeRegions -> WorkerObstacle.HOME_REGION
+            else -> null
+        }
 
     private fun candidate(
         nowMs: Long,
@@ -180,7 +228,7 @@
         query: PlacementQuery,
         isToldLeaving: Boolean,
     ): List<TrackedWorker> =
-        ranking(query.upstream).first(query.affinityHash, settings.maxCandidates, isShared = query.hasAffinityKey) {
+        ranking(query.upstream).first(query.affinityHash, settings.maxCandidates, isShared = query.hasAffinityKey && !query.isPreview) {
             workers.isToldLeaving(nowMs, it) == isToldLeaving && isEligible(it, query) && isAvailable(nowMs, it, query)
         }
 
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/PlacementChoice.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/PlacementChoice.kt
@@ -9,11 +9,14 @@
         val serviceMs: Double,
     ) : PlacementChoice
 
+    /** No worker gets the request. */
+    sealed interface None : PlacementChoice
+
     /** All workers are so busy that the request would wait longer than it may; retry after [retryAfterMs] milliseconds. */
     data class NoCapacity(
         val retryAfterMs: Long,
-    ) : PlacementChoice
+    ) : None
 
     /** No worker is eligible for the request. */
-    data object NoWorker : PlacementChoice
+    data object NoWorker : None
 }
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/PlacementQuery.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/PlacementQuery.kt
@@ -18,6 +18,7 @@
  * @property timeLeftMs time until the request's deadline in milliseconds
  * @property priorityRank rank of the route's priority; 0 is the highest
  * @property admission the request as admission by cost sees it, or null if that is off
+ * @property isPreview whether the query belongs to no request, so that nothing is kept of it
  */
 data class PlacementQuery(
     val route: TrafficRoute,
@@ -31,4 +32,5 @@
     val timeLeftMs: Long,
     val priorityRank: Int,
     val admission: AdmissionRequest? = null,
+    val isPreview: Boolean = false,
 )
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/ServiceTimes.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/ServiceTimes.kt
@@ -28,7 +28,7 @@
         isCached: Boolean,
         serviceMs: Double,
     ) {
-        val mean = meanOf(route)
+        val mean = meansByRoute.getOrPut(route.id) { initialMeans(route) }
         mean.observations++
         if (isCached) {
             mean.cachedMs += SMOOTHING * (serviceMs - mean.cachedMs)
@@ -37,10 +37,10 @@
         }
     }
 
-    private fun meanOf(route: TrafficRoute): MeanTimes =
-        meansByRoute.getOrPut(route.id) {
-            MeanTimes(route.targetLatencyMs * INITIAL_CACHED_FRACTION, route.targetLatencyMs * INITIAL_UNCACHED_FRACTION)
-        }
+    private fun meanOf(route: TrafficRoute): MeanTimes = meansByRoute[route.id] ?: initialMeans(route)
+
+    private fun initialMeans(route: TrafficRoute) =
+        MeanTimes(route.targetLatencyMs * INITIAL_CACHED_FRACTION, route.targetLatencyMs * INITIAL_UNCACHED_FRACTION)
 
     private companion object {
         const val SMOOTHING = 0.05
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/TrackedWorker.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/TrackedWorker.kt
@@ -79,14 +79,27 @@
     fun isCold(nowMs: Long): Boolean = nowMs < coldUntilMs
 
     /** Returns whether the worker can receive a request now; after repeated failures or a 421 it receives only one request at a time. */
-    fun isAvailable(nowMs: Long): Boolean {
-        val isOnTrial = isMisdirected || consecutiveFailures >= settings.failuresToEject
-        val isEjected = nowMs < ejectedUntilMs || nowMs < misdirectedUntilMs || (isOnTrial && inFlight > 0)
-        val isWanted = !isLeaving && nowMs >= pausedUntilMs
-        val hasRoom = inFlight < connectionLimit && inFlight < entry.slots.toLong() * settings.maxInFlightPerSlot
-        return isWanted && !isEjected && hasRoom && hasColdCapacity(nowMs) && rateLimit.allows(nowMs)
+    fun isAvailable(nowMs: Long): Boolean = obstacle(nowMs) == null
+
+    /** Returns the first reason why the worker cannot receive a request now, or null if it can. */
+    internal fun obstacle(nowMs: Long): WorkerObstacle? {
+        val isBusy = inFlight > 0
+        return when {
+            isLeaving -> WorkerObstacle.DRAINING
+            nowMs < pausedUntilMs -> WorkerObstacle.PAUSED
+            nowMs < misdirectedUntilMs || (isMisdirected && isBusy) -> WorkerObstacle.MISDIRECTED
+            nowMs < ejectedUntilMs || (consecutiveFailures >= settings.failuresToEject && isBusy) -> WorkerObstacle.FAILING
+            inFlight >= connectionLimit -> WorkerObstacle.CONNECTIONS_FULL
+            inFlight >= entry.slots.toLong() * settings.maxInFlightPerSlot -> WorkerObstacle.SLOTS_FULL
+            !hasColdCapacity(nowMs) -> WorkerObstacle.COLD
+            !rateLimit.allows(nowMs) -> WorkerObstacle.RATE_LIMITED
+            else -> null
+        }
     }
 
+    /** Returns the age in milliseconds of the latest report of the worker's load, or null if there is none. */
+    fun loadReportAgeMs(nowMs: Long): Long? = reportedLoad.observedAtMs.takeIf { it != Long.MIN_VALUE }?.let { nowMs - it }
+
     /** Returns the time in milliseconds for which the worker is left out, because its address may belong to another worker. */
     fun misdirectedForMs(nowMs: Long): Long = if (nowMs < misdirectedUntilMs) misdirectedUntilMs - nowMs else 0
 
@@ -272,7 +285,7 @@
 
     private fun hasColdCapacity(nowMs: Long): Boolean {
         val bucket = coldBucket
-        return !isCold(nowMs) || bucket == null || bucket.timeUntilAvailableMs(nowMs, 1.0) == 0L
+        return !isCold(nowMs) || bucket == null || bucket.peekTimeUntilAvailableMs(nowMs, 1.0) == 0L
     }
 
     private companion object {
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/WorkerRegistry.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/WorkerRegistry.kt
@@ -76,6 +76,10 @@
     fun workersOf(upstream: UpstreamId): List<TrackedWorker> =
         workersByUpstream[upstream].orEmpty().filter { it.entry.availabilityZone !in evacuatedZones }
 
+    /** Returns the workers of [upstream] in evacuated zones. */
+    internal fun evacuatedWorkersOf(upstream: UpstreamId): List<TrackedWorker> =
+        workersByUpstream[upstream].orEmpty().filter { it.entry.availabilityZone in evacuatedZones }
+
     /** Returns all known workers, also those in evacuated zones. */
     internal fun all(): Collection<TrackedWorker> = workers.values
 
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/BorrowedTokens.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/BorrowedTokens.kt
@@ -23,6 +23,16 @@
     private val pendingRequests = HashMap<Long, PendingRequest>()
     private val lastRequestByLender = HashMap<String, Long>()
 
+    /** Returns a separate copy. */
+    fun copy(): BorrowedTokens =
+        BorrowedTokens(settings).also {
+            it.tokens = tokens
+            it.expiresAtMs = expiresAtMs
+            it.requestedAtMs = requestedAtMs
+            it.pendingRequests += pendingRequests
+            it.lastRequestByLender += lastRequestByLender
+        }
+
     /** Returns whether a new loan request may be sent, as the previous ones have had time to be answered. */
     fun mayRequest(nowMs: Long): Boolean = nowMs - requestedAtMs >= settings.loanRequestIntervalMs
 
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/DemandMeter.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/DemandMeter.kt
@@ -24,6 +24,13 @@
         return decayedCount / windowMs * MILLIS_PER_SECOND
     }
 
+    /** Returns a separate meter with the same count. */
+    fun copy(): DemandMeter =
+        DemandMeter(windowMs).also {
+            it.decayedCount = decayedCount
+            it.updatedAtMs = updatedAtMs
+        }
+
     private fun decay(nowMs: Long) {
         if (updatedAtMs != Long.MIN_VALUE && nowMs > updatedAtMs) decayedCount *= exp(-(nowMs - updatedAtMs) / windowMs)
         if (nowMs > updatedAtMs) updatedAtMs = nowMs
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/WorkspaceRateLimiter.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/ratelimit/WorkspaceRateLimiter.kt
@@ -32,10 +32,11 @@
         var workspace: Workspace,
         val bucket: TokenBucket,
         val share: RateShare,
+        val demand: DemandMeter = DemandMeter(),
+        val borrowed: BorrowedTokens = BorrowedTokens(settings),
+        val isCopy: Boolean = false,
     ) {
         val tag = WorkspaceTag.of(workspace.id)
-        val demand = DemandMeter()
-        val borrowed = BorrowedTokens(settings)
         var updatedAtMs = Long.MIN_VALUE
         var hasHadShare = false
         var isPoolHost = false
@@ -43,6 +44,14 @@
         /** Demand at all hosts as a fraction of the rate, as last heard from a pool host. */
         var heardLoadFactor = 0.0
         var heardLoadFactorAtMs = Long.MIN_VALUE / 2
+
+        /** Returns a copy, on which a decision can be made that takes no tokens and sends no loan requests. */
+        fun copyAt(nowMs: Long): WorkspaceLimit =
+            WorkspaceLimit(workspace, bucket.copyAt(nowMs), share, demand.copy(), borrowed.copy(), isCopy = true).also {
+                it.isPoolHost = isPoolHost
+                it.heardLoadFactor = heardLoadFactor
+                it.heardLoadFactorAtMs = heardLoadFactorAtMs
+            }
     }
 
     private val limits = HashMap<WorkspaceId, WorkspaceLimit>()
@@ -107,6 +116,34 @@
         val limit = limits[workspace] ?: return RateLimitDecision.Granted
         limit.demand.count(nowMs)
         if (nowMs - limit.updatedAtMs > settings.staleAfterMs) rebalance(nowMs)
+        return takeFrom(nowMs, limit, maxWaitMs)
+    }
+
+    /**
+     * Returns what [take] would return, without taking a token, counting demand or asking for a loan. It uses the shares as of the last
+     * [rebalance], also if that was long ago.
+     */
+    fun preview(
+        nowMs: Long,
+        workspace: WorkspaceId,
+        maxWaitMs: Long = 0,
+    ): RateLimitDecision {
+        val limit = limits[workspace]?.copyAt(nowMs) ?: return RateLimitDecision.Granted
+        limit.demand.count(nowMs)
+        return takeFrom(nowMs, limit, maxWaitMs)
+    }
+
+    /** Returns the tokens of [workspace] that this host has now, borrowed ones included; null for a workspace without a rate limit. */
+    fun remainingTokens(
+        nowMs: Long,
+        workspace: WorkspaceId,
+    ): Double? = limits[workspace]?.let { it.bucket.peekLevel(nowMs) + it.borrowed.available(nowMs) }
+
+    private fun takeFrom(
+        nowMs: Long,
+        limit: WorkspaceLimit,
+        maxWaitMs: Long,
+    ): RateLimitDecision {
         val isTaken = tryTake(nowMs, limit)
         if (isPooled(limit)) return if (isTaken) RateLimitDecision.Granted else requestFromPool(nowMs, limit, previousWaits = 0, maxWaitMs)
         requestLoans(nowMs, limit)
@@ -326,8 +363,10 @@
         lender: String,
         tokens: Double,
     ) {
-        val number = ++lastLoanRequestNumber
+        val number = lastLoanRequestNumber + 1
         limit.borrowed.onRequested(nowMs, number, lender)
+        if (limit.isCopy) return
+        lastLoanRequestNumber = number
         sendLoanRequest(LoanRequest(fleet.selfName, fleet.selfIp, lender, limit.workspace.id.value, tokens, number))
     }
 
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/route/WeightedRoundRobin.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/route/WeightedRoundRobin.kt
@@ -25,4 +25,13 @@
         credits.merge(chosen, -total, Double::plus)
         return chosen
     }
+
+    /** Returns the upstream that [next] would return, without using its turn. */
+    fun peek(route: TrafficRoute): UpstreamId? {
+        val credits = creditsByRoute[route.id].orEmpty()
+        return route.weightedUpstreams
+            .filter { it.weight > 0 }
+            .maxByOrNull { (credits[it.upstream] ?: 0.0) + it.weight }
+            ?.upstream
+    }
 }
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/workerlimit/WorkerRateLimit.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/workerlimit/WorkerRateLimit.kt
@@ -39,7 +39,7 @@
     fun allows(nowMs: Long): Boolean = limitPerS == null || hasToken(nowMs) || mayTry || isUnconfirmed(nowMs)
 
     /** Returns the time in milliseconds until this host has a token, 0 if it needs none; null if it gets none. */
-    fun availableInMs(nowMs: Long): Long? = if (allows(nowMs)) 0 else bucket?.timeUntilAvailableMs(nowMs, 1.0)
+    fun availableInMs(nowMs: Long): Long? = if (allows(nowMs)) 0 else bucket?.peekTimeUntilAvailableMs(nowMs, 1.0)
 
     /** Records that a request is sent to the worker. */
     fun onSent(nowMs: Long) {
@@ -123,7 +123,7 @@
         mayTry = false
     }
 
-    private fun hasToken(nowMs: Long): Boolean = bucket?.timeUntilAvailableMs(nowMs, 1.0) == 0L
+    private fun hasToken(nowMs: Long): Boolean = bucket?.peekTimeUntilAvailableMs(nowMs, 1.0) == 0L
 
     private fun isUnconfirmed(nowMs: Long): Boolean = nowMs - max(observedAtMs ?: nowMs, triedAtMs) >= tryAfterMs
 
