Add GET /peer/explain and the command explain

Cause: an operator cannot see why a host sends, queues or rejects a request without sending it.

Change: the listener for peer state answers /peer/explain with the preview of the controller; kumquatctl explain prints it as a table or as JSON. Gateway and GatewayServers pass the handler on.

--- a/kumquatmill-cli/src/main/kotlin/io/kumquatmill/cli/Kumquatctl.kt
+++ b/kumquatmill-cli/src/main/kotlin/io/kumquatmill/cli/Kumquatctl.kt
@@ -10,6 +10,7 @@
 import com.github.ajalt.mordant.terminal.Terminal
 import io.kumquatmill.cli.command.DrainCommand
 import io.kumquatmill.cli.command.DrainsCommand
+import io.kumquatmill.cli.command.ExplainCommand
 import io.kumquatmill.cli.command.RedactingLocalization
 import io.kumquatmill.cli.command.StatusCommand
 import io.kumquatmill.cli.command.TopCommand
@@ -50,6 +51,7 @@
         StatusCommand(environment),
         TopCommand(environment),
         WhereCommand(environment),
+        ExplainCommand(environment),
         WaitInForceCommand(environment),
         DrainCommand(environment),
         UndrainCommand(environment),
--- a/kumquatmill-cli/src/main/kotlin/io/kumquatmill/cli/fleet/HostClient.kt
+++ b/kumquatmill-cli/src/main/kotlin/io/kumquatmill/cli/fleet/HostClient.kt
@@ -5,9 +5,11 @@
 import arrow.core.right
 import io.kumquatmill.cli.error.CliError
 import io.kumquatmill.cli.key.CallerKey
+import io.kumquatmill.common.explain.RequestExplanation
 import io.kumquatmill.common.fleet.HostAddress
 import io.kumquatmill.common.http.HeaderNames
 import kotlinx.serialization.json.Json
+import okhttp3.HttpUrl
 import okhttp3.OkHttpClient
 import okhttp3.Request
 import java.io.IOException
@@ -44,6 +46,18 @@
         key: CallerKey?,
     ): Either<CliError, EntryHosts> = get(address, "/v1/entry-hosts", key) { body -> json.decodeFromString<EntryHosts>(body) }
 
+    /** Asks the host whose listener for peer state is at [address] where it would send a request with [parameters] of the endpoint. */
+    fun explain(
+        address: HostAddress,
+        parameters: Map<String, String>,
+    ): Either<CliError, RequestExplanation> {
+        // Only the encoded query of this URL is used.
+        val url = HttpUrl.Builder().scheme("http").host("localhost")
+        parameters.forEach { (name, value) -> url.addQueryParameter(name, value) }
+        val path = "${RequestExplanation.PATH}?${url.build().encodedQuery}"
+        return get(address, path, key = null) { body -> json.decodeFromString<RequestExplanation>(body) }
+    }
+
     private fun <T> get(
         address: HostAddress,
         path: String,
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
@@ -5,6 +5,7 @@
 import io.kumquatmill.gateway.caller.CallerHandler
 import io.kumquatmill.gateway.caller.DrainSchedule
 import io.kumquatmill.gateway.caller.LoanWaiters
+import io.kumquatmill.gateway.explain.ExplainHandler
 import io.kumquatmill.gateway.http.EventLoopHttpClient
 import io.kumquatmill.gateway.log.EventLog
 import io.kumquatmill.gateway.log.RequestLog
@@ -162,6 +163,7 @@
             callerHandler,
             DirectoryHandler(settings, adapter, controller, metrics, clock, log) { isServing },
             relayHandler,
+            ExplainHandler(settings.self.host, controller, clock),
             cache,
             metrics,
         ) { isServing }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/GatewayServers.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/GatewayServers.kt
@@ -1,5 +1,6 @@
 package io.kumquatmill.gateway
 
+import io.kumquatmill.common.explain.RequestExplanation
 import io.kumquatmill.common.fleet.HostAddress
 import io.kumquatmill.gateway.metrics.GatewayMetrics
 import io.kumquatmill.gateway.peer.PeerState
@@ -25,6 +26,7 @@
     callerHandler: HttpHandler,
     directoryHandler: HttpHandler,
     private val relayHandler: HttpHandler,
+    private val explainHandler: HttpHandler,
     private val cache: StateCache,
     private val metrics: GatewayMetrics,
     private val isServing: () -> Boolean,
@@ -87,6 +89,7 @@
 
     private fun handlePeerState(exchange: HttpServerExchange) {
         if (exchange.requestHeaders.contains(RelayHeaders.WORKER)) return relayHandler.handleRequest(exchange)
+        if (exchange.requestPath == RequestExplanation.PATH) return explainHandler.handleRequest(exchange)
         if (exchange.requestPath != PeerSynchronizer.STATE_PATH) return exchange.respond(NOT_FOUND)
         val state = PeerState(cache.revision, cache.allEntries())
         exchange.respond(OK, body = Json.encodeToString(PeerState.serializer(), state).toByteArray())
