--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/GatewayServers.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/GatewayServers.kt
@@ -1,5 +1,6 @@
 package io.kumquatmill.gateway
 
+import io.kumquatmill.common.explain.RequestExplanation
 import io.kumquatmill.common.fleet.HostAddress
 import io.kumquatmill.gateway.metrics.GatewayMetrics
 import io.kumquatmill.gateway.peer.PeerChangesClient
@@ -27,6 +28,7 @@
     callerHandler: HttpHandler,
     directoryHandler: HttpHandler,
     private val relayHandler: HttpHandler,
+    private val explainHandler: HttpHandler,
     private val cache: StateCache,
     private val changesAfter: (revision: Long) -> PeerChanges?,
     private val metrics: GatewayMetrics,
@@ -91,6 +93,7 @@
     private fun handlePeerState(exchange: HttpServerExchange) {
         if (exchange.requestHeaders.contains(RelayHeaders.WORKER)) return relayHandler.handleRequest(exchange)
         if (exchange.requestPath == PeerChangesClient.PATH) return handlePeerChanges(exchange)
+        if (exchange.requestPath == RequestExplanation.PATH) return explainHandler.handleRequest(exchange)
         if (exchange.requestPath != PeerSynchronizer.STATE_PATH) return exchange.respond(NOT_FOUND)
         val state = PeerState(cache.revision, cache.allEntries())
         exchange.respond(OK, body = Json.encodeToString(PeerState.serializer(), state).toByteArray())
