Share the registry of workers among the tests of placement and admission

Four tests built the same registry. All checks are as before; AdmissionOffTest, CapacityAdmissionTest, PlacementTest, WorkerRankingTest, SharedLoadsTest, ReportedSpeedTest and RegionWeightsTest passed (39).

--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/Fixtures.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/Fixtures.kt
@@ -11,6 +11,7 @@
 import io.kumquatmill.traffic.control.TrafficSettings
 import io.kumquatmill.traffic.crash.RequestFingerprint
 import io.kumquatmill.traffic.fleet.EntryHostInfo
+import io.kumquatmill.traffic.fleet.FleetView
 import io.kumquatmill.traffic.fleet.PeerReport
 import io.kumquatmill.traffic.fleet.WorkspaceTag
 import io.kumquatmill.traffic.model.DesiredState
@@ -20,6 +21,10 @@
 import io.kumquatmill.traffic.model.WeightedUpstream
 import io.kumquatmill.traffic.model.WorkerEntry
 import io.kumquatmill.traffic.model.Workspace
+import io.kumquatmill.traffic.placement.PlacementSettings
+import io.kumquatmill.traffic.placement.WorkerRegistry
+import io.kumquatmill.traffic.workerlimit.WorkerLimitSettings
+import io.kumquatmill.traffic.workerlimit.WorkerLimits
 
 internal val catalogueUpstream = UpstreamId("catalogue")
 
@@ -140,6 +145,18 @@
     stalePeers = stalePeers,
 )
 
+/** Returns the registry of the workers that the host h1 of [fleet] knows. */
+internal fun workerRegistry(
+    fleet: FleetView = FleetView(host("h1")),
+    settings: PlacementSettings = PlacementSettings(),
+) = WorkerRegistry(
+    "h1",
+    settings,
+    WorkerLimits(fleet, WorkerLimitSettings(), regionByZone) { },
+    coldRateFactor = 1.5,
+    coldRateSlack = 5.0,
+)
+
 internal fun settings() =
     TrafficSettings(
         regionByZone = regionByZone,
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/admission/AdmissionOffTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/admission/AdmissionOffTest.kt
@@ -4,20 +4,15 @@
 import io.kumquatmill.common.id.AvailabilityZoneId
 import io.kumquatmill.common.id.RouteId
 import io.kumquatmill.traffic.catalogueUpstream
-import io.kumquatmill.traffic.fleet.FleetView
-import io.kumquatmill.traffic.host
 import io.kumquatmill.traffic.placement.Placement
 import io.kumquatmill.traffic.placement.PlacementChoice
 import io.kumquatmill.traffic.placement.PlacementQuery
-import io.kumquatmill.traffic.placement.PlacementSettings
 import io.kumquatmill.traffic.placement.TrackedWorker
-import io.kumquatmill.traffic.placement.WorkerRegistry
 import io.kumquatmill.traffic.regionByZone
 import io.kumquatmill.traffic.route
 import io.kumquatmill.traffic.steeringState
 import io.kumquatmill.traffic.worker
-import io.kumquatmill.traffic.workerlimit.WorkerLimitSettings
-import io.kumquatmill.traffic.workerlimit.WorkerLimits
+import io.kumquatmill.traffic.workerRegistry
 import kotlin.math.max
 import kotlin.random.Random
 import kotlin.test.Test
@@ -27,8 +22,7 @@
 /** Guards against decisions that differ from those by target latency where admission by cost is off. */
 class AdmissionOffTest {
     private val random = Random(7)
-    private val rateLimits = WorkerLimits(FleetView(host("h1")), WorkerLimitSettings(), regionByZone) { }
-    private val registry = WorkerRegistry("h1", PlacementSettings(), rateLimits, coldRateFactor = 1.5, coldRateSlack = 5.0)
+    private val registry = workerRegistry()
     private val placement = Placement(registry, regionByZone, AvailabilityZoneId("east-a"))
 
     private fun randomQuery() =
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/placement/PlacementTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/placement/PlacementTest.kt
@@ -5,16 +5,13 @@
 import io.kumquatmill.common.id.RegionId
 import io.kumquatmill.traffic.catalogueUpstream
 import io.kumquatmill.traffic.desiredState
-import io.kumquatmill.traffic.fleet.FleetView
-import io.kumquatmill.traffic.host
 import io.kumquatmill.traffic.model.SteeringState
 import io.kumquatmill.traffic.model.WorkerEntry
 import io.kumquatmill.traffic.regionByZone
 import io.kumquatmill.traffic.route
 import io.kumquatmill.traffic.steeringState
 import io.kumquatmill.traffic.worker
-import io.kumquatmill.traffic.workerlimit.WorkerLimitSettings
-import io.kumquatmill.traffic.workerlimit.WorkerLimits
+import io.kumquatmill.traffic.workerRegistry
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -22,8 +19,7 @@
 import kotlin.test.assertTrue
 
 class PlacementTest {
-    private val rateLimits = WorkerLimits(FleetView(host("h1")), WorkerLimitSettings(), regionByZone) { }
-    private val registry = WorkerRegistry("h1", PlacementSettings(), rateLimits, coldRateFactor = 1.5, coldRateSlack = 5.0)
+    private val registry = workerRegistry()
     private val placement = Placement(registry, regionByZone, AvailabilityZoneId("east-a"))
     private val easternWorkers = (1..6).map { worker("e$it") }
     private val westernWorkers = (1..6).map { worker("w$it", "west-a") }
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/placement/SharedLoadsTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/placement/SharedLoadsTest.kt
@@ -4,12 +4,10 @@
 import io.kumquatmill.traffic.fleet.SharedLoad
 import io.kumquatmill.traffic.fleet.WorkerTag
 import io.kumquatmill.traffic.host
-import io.kumquatmill.traffic.regionByZone
 import io.kumquatmill.traffic.report
 import io.kumquatmill.traffic.steeringState
 import io.kumquatmill.traffic.worker
-import io.kumquatmill.traffic.workerlimit.WorkerLimitSettings
-import io.kumquatmill.traffic.workerlimit.WorkerLimits
+import io.kumquatmill.traffic.workerRegistry
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
@@ -20,8 +18,7 @@
     ) {
         val entries = (1..20).map { worker("e$it") }
         private val fleet = FleetView(host("h1")).apply { updateHosts(0, (2..hosts).map { host("h$it") }) }
-        private val limits = WorkerLimits(fleet, WorkerLimitSettings(), regionByZone) { }
-        private val registry = WorkerRegistry("h1", settings, limits, coldRateFactor = 1.5, coldRateSlack = 5.0)
+        private val registry = workerRegistry(fleet, settings)
         val loads = SharedLoads("east", fleet, registry, settings)
 
         init {
--- a/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/placement/WorkerRankingTest.kt
+++ b/kumquatmill-traffic/src/test/kotlin/io/kumquatmill/traffic/placement/WorkerRankingTest.kt
@@ -2,13 +2,9 @@
 
 import io.kumquatmill.common.hash.combineHashes
 import io.kumquatmill.traffic.catalogueUpstream
-import io.kumquatmill.traffic.fleet.FleetView
-import io.kumquatmill.traffic.host
-import io.kumquatmill.traffic.regionByZone
 import io.kumquatmill.traffic.steeringState
 import io.kumquatmill.traffic.worker
-import io.kumquatmill.traffic.workerlimit.WorkerLimitSettings
-import io.kumquatmill.traffic.workerlimit.WorkerLimits
+import io.kumquatmill.traffic.workerRegistry
 import kotlin.math.ln
 import kotlin.math.max
 import kotlin.random.Random
@@ -17,8 +13,7 @@
 
 class WorkerRankingTest {
     private fun trackedWorkers(count: Int): List<TrackedWorker> {
-        val rateLimits = WorkerLimits(FleetView(host("h1")), WorkerLimitSettings(), regionByZone) { }
-        val registry = WorkerRegistry("h1", PlacementSettings(), rateLimits, coldRateFactor = 1.5, coldRateSlack = 5.0)
+        val registry = workerRegistry()
         registry.update(0, steeringState((1..count).map { worker("w$it") }), listOf("h1"))
         return registry.workersOf(catalogueUpstream)
     }
