Pass over readers that lose the store, and keep changes of one era only

Cause: a review of the shared reading of store changes found that a reader whose calls fail was asked again without end; that a host which went back to the store first waited as long as before on a connection that may have gone silent; that an answer across a restore of the store was kept and could hide changes from peers; that a host which asks the store itself was no proper reader for others; that an exception while asking ended the watch; and that heads of complete responses were not counted as closing. Change: a reader says that its calls fail (503) and is passed over for 15 s; the first watch in its place waits for at most 0.4 s; answers of another era clear what is kept; being the reader does not depend on the fallback; errors count as no answer; a refusal of an attempt is computed only where it is used. A reader's watch waits for 0.25 s in place of 0.4 s, so that its answers stay below 0.9 s at a store of 200 ms.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
@@ -44,6 +44,7 @@
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
+import kotlin.math.min
 import kotlin.random.Random
 
 /**
@@ -129,6 +130,7 @@
             clock,
             { isServing },
             cache::isSettling,
+            min(SharedWatch.MAX_ANSWER_AGE_MS, settings.storeRecoveryMs / 4),
             ::onReaderAnswer,
         )
     private val watchers =
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerHandler.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/PeerHandler.kt
@@ -1,9 +1,12 @@
 package io.kumquatmill.gateway
 
+import arrow.core.Either
+import arrow.core.left
 import io.kumquatmill.common.explain.RequestExplanation
 import io.kumquatmill.gateway.peer.PeerChangesClient
 import io.kumquatmill.gateway.peer.PeerState
 import io.kumquatmill.gateway.relay.RelayHeaders
+import io.kumquatmill.gateway.store.NoChanges
 import io.kumquatmill.gateway.store.PeerChanges
 import io.kumquatmill.gateway.store.StateCache
 import io.undertow.server.HttpHandler
@@ -13,13 +16,13 @@
 /**
  * Answers other hosts and operators, at the listener that callers do not reach: passes requests on, and serves what this host knows.
  *
- * @param changesAfter returns the changes of the store after a revision, or null if they are not all known
+ * @param changesAfter returns the changes of the store after a revision, or why there are none
  */
 internal class PeerHandler(
     private val relayHandler: HttpHandler,
     private val explainHandler: HttpHandler,
     private val cache: StateCache,
-    private val changesAfter: (revision: Long) -> PeerChanges?,
+    private val changesAfter: (revision: Long) -> Either<NoChanges, PeerChanges>,
 ) : HttpHandler {
     override fun handleRequest(exchange: HttpServerExchange) {
         if (exchange.requestHeaders.contains(RelayHeaders.WORKER)) return relayHandler.handleRequest(exchange)
@@ -38,13 +41,16 @@
 
     private fun sendChanges(exchange: HttpServerExchange) {
         val afterRevision = exchange.queryParameters[PeerChangesClient.AFTER_PARAMETER]?.firstOrNull()?.toLongOrNull()
-        val changes = afterRevision?.let(changesAfter) ?: return exchange.respond(GONE)
-        exchange.respond(OK, Json.encodeToString(PeerChanges.serializer(), changes).toByteArray())
+        val answer = afterRevision?.let(changesAfter) ?: NoChanges.LACKING.left()
+        answer.fold({ exchange.respond(if (it == NoChanges.LACKING) GONE else UNAVAILABLE) }) {
+            exchange.respond(OK, Json.encodeToString(PeerChanges.serializer(), it).toByteArray())
+        }
     }
 
     private companion object {
         const val OK = 200
         const val NOT_FOUND = 404
         const val GONE = 410
+        const val UNAVAILABLE = 503
     }
 }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/ResponseBuffers.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/ResponseBuffers.kt
@@ -107,7 +107,7 @@
             check(!isReleased) { "the parts of the response are gone: end the call as incomplete" }
             val whole = ByteArray(size)
             parts.fold(0) { at, part -> part.copyInto(whole, at).let { at + part.size } }
-            free()
+            release()
             return whole
         }
 
@@ -117,15 +117,12 @@
             onEvicted(noRoom())
         }
 
-        /** Releases the memory of a response that is not complete; no effect if it was released before. */
+        /** Releases the memory for other responses; no effect if it was released before. */
         fun release() {
             if (isReleased) return
-            onClosing(framingBytes)
-            free()
-        }
-
-        private fun free() {
             isReleased = true
+            // The connection of a complete response may be closed as well.
+            onClosing(framingBytes)
             holders -= this
             heldBytes -= size + framingBytes
             parts.clear()
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/RecentChanges.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/RecentChanges.kt
@@ -23,7 +23,7 @@
         afterRevision: Long,
         answer: StoreReply.Changes,
     ) {
-        if (answeredAtMs == null || afterRevision != revision || eraOf(answer.revision) != eraOf(revision)) {
+        if (answeredAtMs == null || afterRevision != revision) {
             clear()
             firstRevision = afterRevision
         }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/SharedWatch.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/store/SharedWatch.kt
@@ -1,6 +1,7 @@
 package io.kumquatmill.gateway.store
 
 import arrow.core.Either
+import arrow.core.left
 import arrow.core.right
 import io.kumquatmill.common.time.MonotonicClock
 import io.kumquatmill.store.StoreCall
@@ -15,7 +16,7 @@
     /** It does not know all changes since the revision, as it has just started, for instance. */
     LACKING,
 
-    /** It did not answer, or is of an earlier build. */
+    /** It did not answer, is of an earlier build, or gets no answer of the store itself. */
     NO_ANSWER,
 }
 
@@ -25,9 +26,10 @@
 /**
  * Sends the watches of this host to the reader of its availability zone where [source] names one, and to the store otherwise.
  *
- * A reader that does not answer, lacks the changes, or has not heard from the store for [MAX_ANSWER_AGE_MS] is replaced by the store at
+ * A reader that does not answer, lacks the changes, or has not heard from the store for [maxAnswerAgeMs] is replaced by the store at
  * once: it may have been frozen or cut off.
  *
+ * @param maxAnswerAgeMs longer than a reader collects changes, waits for the store and gets its answer
  * @param isSettling returns whether this host waits for the store to confirm what it may have lost; no peer can confirm it
  * @param onAnswer called with the result of each question to a peer
  */
@@ -39,6 +41,7 @@
     private val clock: MonotonicClock,
     private val isServing: () -> Boolean,
     private val isSettling: () -> Boolean,
+    private val maxAnswerAgeMs: Long = MAX_ANSWER_AGE_MS,
     private val onAnswer: (Result, PeerReport) -> Unit = { _, _ -> },
 ) {
     /** Result of a question to a peer. */
@@ -59,8 +62,9 @@
         if (call is StoreCall.Watch) watch(call, clock.nowMs() + call.waitMs, onResult) else sendToStore(call, onResult)
     }
 
-    /** Returns the changes after [afterRevision] that this host has learned of, or null if they are not all known. */
-    fun changesAfter(afterRevision: Long): PeerChanges? = recent.after(clock.nowMs(), afterRevision)
+    /** Returns the changes after [afterRevision] that this host has learned of, or why it can't. */
+    fun changesAfter(afterRevision: Long): Either<NoChanges, PeerChanges> =
+        if (hasStoreFailed) NoChanges.NO_ANSWER.left() else recent.after(clock.nowMs(), afterRevision)?.right() ?: NoChanges.LACKING.left()
 
     private fun watch(
         call: StoreCall.Watch,
@@ -69,23 +73,43 @@
     ) {
         val reader = source.reader(clock.nowMs(), isServing()).takeUnless { hasStoreFailed || isSettling() }
         if (reader == null) return watchStore(call, onResult)
-        ask(reader, call.afterRevision) { answer ->
-            val result = answer.fold({ if (it == NoChanges.LACKING) Result.LACKING else Result.NO_ANSWER }, ::resultOf)
+        askGuarded(reader, call.afterRevision) { answer ->
+            val result = answer.fold({ if (it == NoChanges.LACKING) Result.LACKING else Result.NO_ANSWER }) { resultOf(call, it) }
             onAnswer(result, reader)
-            if (result == Result.TOO_OLD || result == Result.NO_ANSWER) source.onUnusable(clock.nowMs())
+            if (result == Result.TOO_OLD || result == Result.NO_ANSWER) source.onUnusable(clock.nowMs(), reader.host)
             val changes = answer.getOrNull()
             when {
-                changes == null || result == Result.TOO_OLD -> watchStore(call, onResult)
-                result == Result.USED || clock.nowMs() >= untilMs -> onResult(use(call, changes).right())
-                else -> runAfter(batchMs) { watch(call, untilMs, onResult) }
+                // The connection to the store has not been used for a while and may have gone silent.
+                changes == null || result == Result.TOO_OLD -> watchStore(call.copy(waitMs = min(call.waitMs, FIRST_WAIT_MS)), onResult)
+                result == Result.USED -> onResult(use(call, changes).right())
+                else -> {
+                    val empty = use(call, changes)
+                    runAfter(batchMs) { if (clock.nowMs() >= untilMs) onResult(empty.right()) else watch(call, untilMs, onResult) }
+                }
             }
         }
     }
 
-    private fun resultOf(answer: PeerChanges): Result =
+    /** An address that a peer has reported may be malformed; the watch must not end because of it. */
+    @Suppress("TooGenericExceptionCaught")
+    private fun askGuarded(
+        reader: PeerReport,
+        afterRevision: Long,
+        onAnswer: (Either<NoChanges, PeerChanges>) -> Unit,
+    ) = try {
+        ask(reader, afterRevision, onAnswer)
+    } catch (_: Exception) {
+        onAnswer(NoChanges.NO_ANSWER.left())
+    }
+
+    private fun resultOf(
+        call: StoreCall.Watch,
+        answer: PeerChanges,
+    ): Result =
         when {
-            answer.answerAgeMs > MAX_ANSWER_AGE_MS -> Result.TOO_OLD
-            answer.changes.isEmpty() -> Result.EMPTY
+            answer.answerAgeMs > maxAnswerAgeMs -> Result.TOO_OLD
+            // The store came back from an older copy, so that a snapshot must be read.
+            answer.changes.isEmpty() && eraOf(answer.revision) == eraOf(call.afterRevision) -> Result.EMPTY
             else -> Result.USED
         }
 
@@ -94,26 +118,33 @@
         answer: PeerChanges,
     ): StoreReply.Changes {
         val changes = StoreReply.Changes(answer.changes, answer.revision)
-        recent.add(clock.nowMs() - answer.answerAgeMs, call.afterRevision, changes)
+        remember(clock.nowMs() - answer.answerAgeMs, call, changes)
         return changes
     }
 
-    private fun limited(call: StoreCall.Watch): StoreCall.Watch =
-        source.watchMs(clock.nowMs(), isServing())?.let { call.copy(waitMs = min(call.waitMs, it)) } ?: call
+    /** A store that came back from an older copy has given revisions out again, so that changes before the answer may be missing. */
+    private fun remember(
+        atMs: Long,
+        call: StoreCall.Watch,
+        answer: StoreReply.Changes,
+    ) = if (eraOf(answer.revision) == eraOf(call.afterRevision)) recent.add(atMs, call.afterRevision, answer) else recent.clear()
 
     private fun watchStore(
         call: StoreCall.Watch,
         onResult: (Either<StoreError, StoreReply>) -> Unit,
-    ) = sendToStore(limited(call)) { result ->
-        hasStoreFailed = result.isLeft()
-        result.fold({ recent.clear() }) { reply ->
-            if (source.isShared) recent.add(clock.nowMs(), call.afterRevision, reply as StoreReply.Changes)
+    ) {
+        val waitMs = source.watchMs(clock.nowMs(), isServing())?.let { min(call.waitMs, it) } ?: call.waitMs
+        sendToStore(call.copy(waitMs = waitMs)) { result ->
+            hasStoreFailed = result.isLeft()
+            result.fold({ recent.clear() }) { if (source.isShared) remember(clock.nowMs(), call, it as StoreReply.Changes) }
+            onResult(result)
         }
-        onResult(result)
     }
 
     companion object {
-        /** Longer than a reader collects changes, waits for the store and gets its answer. */
         const val MAX_ANSWER_AGE_MS = 900L
+
+        /** Longest wait of a watch that is sent to the store in place of a question to a peer. */
+        private const val FIRST_WAIT_MS = 400L
     }
 }
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/NextAttempt.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/NextAttempt.kt
@@ -44,8 +44,9 @@
         isBudgetExempt: Boolean = false,
     ): RequestAction {
         val query = queryOf(nowMs, request)
-        refusalBeforeChoice(nowMs, request, query, crashingRequests.quarantinedForMs(nowMs, request.fingerprint))?.let {
-            return lastFailure ?: refuse(nowMs, request, it)
+        val quarantinedForMs = crashingRequests.quarantinedForMs(nowMs, request.fingerprint)
+        refusalBeforeChoice(request, query, quarantinedForMs)?.let {
+            return lastFailure ?: refuse(nowMs, request, refusalOf(nowMs, it, query, quarantinedForMs))
         }
         val choice = placement.choose(nowMs, query)
         recordDecision(nowMs, request, choice)
@@ -67,7 +68,9 @@
     ): PreviewedOutcome {
         val query = queryOf(nowMs, request).copy(isPreview = true)
         val quarantinedForMs = crashingRequests.peekQuarantinedForMs(nowMs, request.fingerprint)
-        refusalBeforeChoice(nowMs, request, query, quarantinedForMs)?.let { return PreviewedOutcome.Refused(it) }
+        refusalBeforeChoice(request, query, quarantinedForMs)?.let {
+            return PreviewedOutcome.Refused(refusalOf(nowMs, it, query, quarantinedForMs))
+        }
         return when (val choice = placement.choose(nowMs, query)) {
             is PlacementChoice.None -> PreviewedOutcome.Refused(refusalOf(choice))
             is PlacementChoice.Chosen -> PreviewedOutcome.Sent(choice, isHostCutOff = reach.isCutOff)
@@ -80,23 +83,29 @@
         request: TrafficRequest,
     ): List<PreviewedWorker> = placement.preview(nowMs, queryOf(nowMs, request).copy(isPreview = true))
 
-    /** Returns the refusal of a [request] for which no worker need be chosen, or null if it may be sent. */
+    /** Returns why a [request] is refused before a worker is chosen, or null if it may be sent. */
     private fun refusalBeforeChoice(
-        nowMs: Long,
         request: TrafficRequest,
         query: PlacementQuery,
         quarantinedForMs: Long?,
-    ): RequestAction.Refuse? {
+    ): RefusalCause? {
         val isExhausted =
             request.possibleExecutions >= request.route.maxAttempts || request.attempts >= request.route.maxAttempts + EXTRA_ATTEMPTS
         return when {
-            quarantinedForMs != null -> RequestAction.Refuse(RefusalCause.QUARANTINED, quarantinedForMs)
-            isExhausted -> RequestAction.Refuse(RefusalCause.RETRIES_EXHAUSTED, retryAfterMs(nowMs, query))
-            query.timeLeftMs < MIN_TIME_LEFT_MS -> RequestAction.Refuse(RefusalCause.TOO_LATE, retryAfterMs(nowMs, query))
+            quarantinedForMs != null -> RefusalCause.QUARANTINED
+            isExhausted -> RefusalCause.RETRIES_EXHAUSTED
+            query.timeLeftMs < MIN_TIME_LEFT_MS -> RefusalCause.TOO_LATE
             else -> null
         }
     }
 
+    private fun refusalOf(
+        nowMs: Long,
+        cause: RefusalCause,
+        query: PlacementQuery,
+        quarantinedForMs: Long?,
+    ) = RequestAction.Refuse(cause, quarantinedForMs ?: retryAfterMs(nowMs, query))
+
     private fun refusalOf(choice: PlacementChoice.None): RequestAction.Refuse =
         when (choice) {
             is PlacementChoice.NoWorker -> RequestAction.Refuse(RefusalCause.NO_WORKER, NO_WORKER_RETRY_AFTER_MS)
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/ChangeSource.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/ChangeSource.kt
@@ -11,6 +11,8 @@
     private val settings: FleetSettings = FleetSettings(),
 ) {
     private var storeUntilMs: Long? = null
+    private var unusableHost: String? = null
+    private var unusableUntilMs = 0L
 
     /** Whether the fleet is so large that hosts ask each other for changes. */
     val isShared: Boolean
@@ -26,20 +28,24 @@
         isServing: Boolean,
     ): PeerReport? {
         if (!isShared || isAskingStore(nowMs)) return null
-        val first = zonePeers(nowMs).minWithOrNull(compareBy(rank) { it.sender }) ?: return null
-        return first.takeUnless { isServing && rank.compare(fleet.self, it.sender) < 0 }
+        return firstPeer(nowMs).takeUnless { isReader(nowMs, isServing) }
     }
 
-    /** Records that a peer did not answer, or not with changes that can be used: for a while, this host asks the store itself. */
-    fun onUnusable(nowMs: Long) {
+    /** Records that the peer [host] did not answer, or too late: for a while, this host asks the store itself, and then another peer. */
+    fun onUnusable(
+        nowMs: Long,
+        host: String,
+    ) {
         storeUntilMs = nowMs + settings.readerRetryMs
+        unusableHost = host
+        unusableUntilMs = nowMs + settings.readerExclusionMs
     }
 
     /** Returns whether this host is the reader of its availability zone; [isServing] as in [reader]. */
     fun isReader(
         nowMs: Long,
         isServing: Boolean,
-    ): Boolean = isShared && isServing && !isAskingStore(nowMs) && zonePeers(nowMs).isNotEmpty() && reader(nowMs, isServing = true) == null
+    ): Boolean = isShared && isServing && firstPeer(nowMs)?.let { rank.compare(fleet.self, it.sender) < 0 } ?: false
 
     /** Returns the longest wait in milliseconds of a watch of the store, or null if it is not limited. */
     fun watchMs(
@@ -60,8 +66,12 @@
             else -> fleet.changeBatchMs()
         }
 
-    private fun zonePeers(nowMs: Long): List<PeerReport> =
-        fleet.freshReports(nowMs).filter { it.isServing && it.availabilityZone == fleet.self.availabilityZone }
+    private fun firstPeer(nowMs: Long): PeerReport? =
+        fleet
+            .freshReports(nowMs)
+            .filter { it.isServing && it.availabilityZone == fleet.self.availabilityZone }
+            .filterNot { it.host == unusableHost && nowMs < unusableUntilMs }
+            .minWithOrNull(compareBy(rank) { it.sender })
 
     private companion object {
         /** The reader encodes changes for its zone, so the host with most processor capacity comes first. */
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/FleetSettings.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/fleet/FleetSettings.kt
@@ -36,11 +36,13 @@
      * Longest wait of a reader's watch. Its peers learn from the age of the last answer that it has lost the store, so it asks often also
      * while nothing changes.
      */
-    val readerWatchMs: Long = 400,
+    val readerWatchMs: Long = 250,
     /** Time between two questions to the reader. With [readerBatchMs] it is shorter than [maxChangeBatchMs]. */
     val readerPollMs: Long = 700,
     /** Time for which a host asks the store itself after its reader did not answer; as long as a silent reader's report may be fresh. */
     val readerRetryMs: Long = 5_000,
+    /** Time for which a reader that did not answer is passed over: it may report, but not reach the store. */
+    val readerExclusionMs: Long = 15_000,
     /** A report is fresh for this many report intervals, so that two of three reports may be lost or late. */
     val freshIntervals: Double = 2.5,
     /** A host that is silent for more than this many report intervals is no longer offered to callers. */
