Look for a caller's close before its request is sent to a worker

Change: what has arrived behind a request is read before it is sent; if the caller has closed its connection, the request ends there, whatever its kind. Result: LateReadTest, a process that is frozen while 40 callers send a request and leave, failed without the change (twice; the requests took the worker away from the next caller) and passes with it; HostTest (25), ReadAheadTest (12), RelayTest (7), SlowCallersTest pass.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerPipeline.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerPipeline.kt
@@ -67,6 +67,15 @@
             get() = heldBytes == 0 && !isDiscarded
     }
 
+    /** Reads what has arrived behind [request], which is not started yet, and returns whether the caller has closed its connection. */
+    fun detectDisconnect(request: PipelinedRequest): Boolean {
+        current = request
+        mayStart = false
+        reader.start()
+        reader.read()
+        return current == null
+    }
+
     /** Reads on while [request] is in progress, in order to detect that the caller disconnects, and to start requests behind it. */
     fun watch(
         request: PipelinedRequest,
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
@@ -51,7 +51,10 @@
     /** Serves the request, whose turn it is, on [exchange]. */
     fun start(exchange: HttpServerExchange) {
         this.exchange = exchange
-        guarded { begin() }
+        guarded {
+            // A host that was frozen or busy may read a request after its caller has left.
+            if (pipeline.detectDisconnect(this)) finish(CLIENT_CLOSED_REQUEST, "caller-left") { } else begin()
+        }
     }
 
     override fun startAhead() = guarded { begin() }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/PipelineReader.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/PipelineReader.kt
@@ -93,8 +93,8 @@
         }
     }
 
-    /** Reads all that has arrived, so that requests of a caller that has already left are not started. */
-    private fun read() {
+    /** Reads all that has arrived, so that requests of a caller that has already left are not started. No effect before [start]. */
+    fun read() {
         val serverConnection = connection ?: return
         if (!isReading) return
         val sizeBefore = size
