Let one piece of code decide or count where two did

- WeightedRoundRobin.peek runs the code of next on a copy of its credits, so that an explanation can't differ from the decision.
- DesiredState.routePriorities replaces the same list built in RequestAdmission and in EffectivePriorities; the former kept it as state.
- PipelineReader uses Undertow's ImmediatePooledByteBuffer in place of a class of its own.
- Placement computes the longest round trip once, not for each worker of each request that is admitted by cost; CallerHandler builds the head that is compared with a request read ahead only if there is one.

--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/OverloadReplay.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/OverloadReplay.kt
@@ -124,14 +124,8 @@
         private val startedAtMs = time.nowMs
         private val objectKey = "$zone/${profile.name}/${random.nextInt(profile.objectsPerZone)}"
         private val serviceTimeMs = profile.coldServiceTimeMs * (1 + SERVICE_TIME_SPREAD * (random.nextDouble() * 2 - 1))
-        private val slowFactor =
-            if (profile.slowFraction > 0 &&
-                random.nextDouble() < profile.slowFraction
-            ) {
-                RequestProfile.SLOW_FACTOR
-            } else {
-                1.0
-            }
+        private val isSlow = profile.slowFraction > 0 && random.nextDouble() < profile.slowFraction
+        private val slowFactor = if (isSlow) RequestProfile.SLOW_FACTOR else 1.0
         private val workspace = if (workspaces.isEmpty()) null else workspaces.random(random)
         private val region = pattern.regionByZone.getValue(zone)
         private var retriesLeft = MAX_CALLER_RETRIES
--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/Patterns.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/Patterns.kt
@@ -1,6 +1,6 @@
 package io.kumquatmill.bench.overload
 
-private val regionByZone =
+internal val regionByZone =
     mapOf(
         "east-a" to "east",
         "east-b" to "east",
--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/ReplayStatistics.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/ReplayStatistics.kt
@@ -13,7 +13,10 @@
     ) {
         private val outcomes = HashMap<Outcome, Int>()
 
-        fun fractionOf(outcome: Outcome): Double = (outcomes[outcome] ?: 0).toDouble() / outcomes.values.sum()
+        val requests: Int
+            get() = outcomes.values.sum()
+
+        fun fractionOf(outcome: Outcome): Double = (outcomes[outcome] ?: 0).toDouble() / requests
 
         val earnedFraction: Double
             get() = if (possible == 0.0) 1.0 else earned / possible
@@ -39,7 +42,6 @@
     private val byProfile = HashMap<String, EarnedBenefit>()
     private val all = EarnedBenefit()
     private val groups = TreeMap<String, EarnedBenefit>()
-    private val outcomes = HashMap<Outcome, Int>()
     private val attemptsByWindow = HashMap<String, HashMap<Long, HashMap<String, Int>>>()
     private var localAttempts = 0
     private var attempts = 0
@@ -51,17 +53,12 @@
         profile: RequestProfile,
         outcome: Outcome,
     ) {
-        outcomes.merge(outcome, 1, Int::plus)
         val groupNames =
             listOfNotNull(workspacePriority?.let { "workspace priority $it" }, "route priority ${profile.priority}", "kind ${profile.name}")
-        groupNames.forEach { name -> groups.getOrPut(name) { EarnedBenefit() }.add(profile, outcome) }
-        listOf(
-            all,
-            byZone.getOrPut(zone) {
-                EarnedBenefit()
-            },
-            byProfile.getOrPut(profile.name) { EarnedBenefit() },
-        ).forEach { it.add(profile, outcome) }
+        val benefits =
+            groupNames.map { groups.getOrPut(it) { EarnedBenefit() } } +
+                listOf(all, byZone.getOrPut(zone) { EarnedBenefit() }, byProfile.getOrPut(profile.name) { EarnedBenefit() })
+        benefits.forEach { it.add(profile, outcome) }
     }
 
     /** Records an attempt that was sent for a caller in region [from] to a worker in region [to]. */
@@ -83,29 +80,26 @@
         policy: String,
         seed: Int,
         workers: Collection<WorkerEmulator>,
-    ): ReplayResult {
-        val requests = outcomes.values.sum()
-        val fractionOf = { outcome: Outcome -> (outcomes[outcome] ?: 0).toDouble() / requests }
-        return ReplayResult(
+    ): ReplayResult =
+        ReplayResult(
             pattern = pattern,
             policy = policy,
             seed = seed,
-            requests = requests,
+            requests = all.requests,
             earnedFraction = all.earnedFraction,
             worstZoneEarnedFraction = byZone.values.minOf { it.earnedFraction },
             worstKindEarnedFraction = byProfile.values.minOf { it.earnedFraction },
             earnedByZone = byZone.mapValues { (_, benefit) -> benefit.earnedFraction },
             earnedByCall = byProfile.mapValues { (_, benefit) -> benefit.earnedFraction },
-            inTimeFraction = fractionOf(Outcome.IN_TIME),
-            refusedFraction = fractionOf(Outcome.REFUSED),
-            lateFraction = fractionOf(Outcome.LATE),
-            failedFraction = fractionOf(Outcome.FAILED),
+            inTimeFraction = all.fractionOf(Outcome.IN_TIME),
+            refusedFraction = all.fractionOf(Outcome.REFUSED),
+            lateFraction = all.fractionOf(Outcome.LATE),
+            failedFraction = all.fractionOf(Outcome.FAILED),
             warmFraction = workers.sumOf { it.warmRuns }.toDouble() / workers.sumOf { it.runs },
             localFraction = localAttempts.toDouble() / attempts,
             groups = groups.map { (name, benefit) -> groupResult(name, benefit) },
             maxShiftedFraction = attemptsByWindow.values.maxOf(::maxShiftedFraction),
         )
-    }
 
     private fun groupResult(
         name: String,
--- a/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/ScarcityPatterns.kt
+++ b/kumquatmill-bench/src/main/kotlin/io/kumquatmill/bench/overload/ScarcityPatterns.kt
@@ -8,8 +8,6 @@
  * Workers and load are scaled down by the same factor, so that each host knows as much of each worker as in the deployment.
  */
 internal object ScarcityPatterns {
-    private val regionByZone =
-        mapOf("east-a" to "east", "east-b" to "east", "west-a" to "west", "west-b" to "west", "north-a" to "north", "north-b" to "north")
     private val workspacePriorities = listOf(0, 1, 1, 1, 2, 2)
     private val lectureRequests =
         listOf(
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerHandler.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerHandler.kt
@@ -80,8 +80,9 @@
             exchange.isPersistent = false
             return reject(exchange, LocalResponse.ambiguousLength)
         }
-        pipeline.take(ReceivedHead.of(exchange))?.let { request ->
-            exchange.dispatch(SameThreadExecutor.INSTANCE, Runnable { request.attach(exchange) })
+        val readAhead = if (pipeline.hasRequestsAhead) pipeline.take(ReceivedHead.of(exchange)) else null
+        if (readAhead != null) {
+            exchange.dispatch(SameThreadExecutor.INSTANCE, Runnable { readAhead.attach(exchange) })
             return
         }
         val maxBodyBytes = min(controller.maxBodyBytes, MAX_BUFFERED_BODY_BYTES)
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/PipelineReader.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/PipelineReader.kt
@@ -3,6 +3,7 @@
 import io.undertow.connector.PooledByteBuffer
 import io.undertow.server.AbstractServerConnection
 import io.undertow.server.ServerConnection
+import io.undertow.util.ImmediatePooledByteBuffer
 import org.xnio.ChannelListener
 import org.xnio.conduits.ConduitStreamSourceChannel
 import java.io.IOException
@@ -77,7 +78,7 @@
         val pooled = serverConnection.byteBufferPool.allocate()
         if (pooled.buffer.remaining() < size) {
             pooled.close()
-            return HeapBytes(ByteBuffer.wrap(bytes, 0, size).slice())
+            return ImmediatePooledByteBuffer(ByteBuffer.wrap(bytes, 0, size).slice())
         }
         pooled.buffer.put(bytes, 0, size).flip()
         return pooled
@@ -142,21 +143,6 @@
         limit.holdHeads(count)
     }
 
-    /** Bytes in memory that belongs to no pool. */
-    private class HeapBytes(
-        private val bytes: ByteBuffer,
-    ) : PooledByteBuffer {
-        private var isClosed = false
-
-        override fun getBuffer(): ByteBuffer = bytes
-
-        override fun close() {
-            isClosed = true
-        }
-
-        override fun isOpen(): Boolean = !isClosed
-    }
-
     private companion object {
         val EMPTY = ByteArray(0)
         const val END_OF_STREAM = -1
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/admission/EffectivePriorities.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/admission/EffectivePriorities.kt
@@ -18,11 +18,7 @@
             .map { it.priority }
             .distinct()
             .sorted()
-    private val routeLevels =
-        desired.routes
-            .map { it.priority }
-            .distinct()
-            .sorted()
+    private val routeLevels = desired.routePriorities
     private val defaultPriority =
         desired.workspaces
             .groupingBy { it.priority }
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/RequestAdmission.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/control/RequestAdmission.kt
@@ -32,7 +32,6 @@
     private var desired: DesiredState? = null
     private var routes = RouteIndex(emptyList())
     private var workspacesByKey: Map<String, Workspace> = emptyMap()
-    private var priorities: List<Int> = emptyList()
 
     /** Applies a new [desired] state. */
     fun update(
@@ -42,11 +41,6 @@
         this.desired = desired
         routes = RouteIndex(desired.routes)
         workspacesByKey = desired.workspaces.flatMap { workspace -> workspace.keys.map { it to workspace } }.toMap()
-        priorities =
-            desired.routes
-                .map { it.priority }
-                .distinct()
-                .sorted()
         rateLimiter.update(nowMs, desired.workspaces)
         capacity.update(desired)
     }
@@ -159,7 +153,7 @@
         val route = resolved.route
         val timeoutMs = min(route.timeoutMs ?: Long.MAX_VALUE, deadlineMs ?: DEFAULT_DEADLINE_MS)
         val requestHash = stableHash(requestId)
-        val priorityRank = priorities.indexOf(route.priority).coerceAtLeast(0)
+        val priorityRank = desired?.routePriorities?.indexOf(route.priority)?.coerceAtLeast(0) ?: 0
         return TrafficRequest(
             route = route,
             workspace = resolved.workspace,
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/model/DesiredState.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/model/DesiredState.kt
@@ -16,4 +16,11 @@
     val isKeyRequired: Boolean,
     val upstreams: Map<UpstreamId, Upstream>,
     val maxBodyBytes: Long,
-)
+) {
+    /** Distinct priorities of the routes, the most urgent first. */
+    val routePriorities: List<Int> =
+        routes
+            .map { it.priority }
+            .distinct()
+            .sorted()
+}
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/placement/Placement.kt
@@ -43,6 +43,7 @@
     )
 
     private val ownRegion: RegionId? = regionByZone[ownZone]
+    private val maxRoundTripMs = if (regionByZone.values.any { it != ownRegion }) settings.crossRegionRoundTripMs else 0.0
     private val serviceTimes = ServiceTimes()
     private val regionWeights = RegionWeights(settings.ownRegionPreference)
     private val rankings = HashMap<UpstreamId, CachedRanking>()
@@ -205,7 +206,6 @@
         val byCost = query.admission
         if (byCost != null) {
             val entry = candidate.worker.entry
-            val maxRoundTripMs = if (regionByZone.values.any { it != ownRegion }) settings.crossRegionRoundTripMs else 0.0
             val reserveMs = max(0.0, maxRoundTripMs - roundTripMs(candidate.worker))
             val byCostCandidate =
                 AdmissionCandidate(entry.availabilityZone, candidate.waitMs, candidate.serviceMs, serviceMs, reserveMs, entry.slots)
--- a/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/route/WeightedRoundRobin.kt
+++ b/kumquatmill-traffic/src/main/kotlin/io/kumquatmill/traffic/route/WeightedRoundRobin.kt
@@ -14,10 +14,18 @@
     private val creditsByRoute = HashMap<RouteId, MutableMap<UpstreamId, Double>>()
 
     /** Returns the upstream for the next request of [route], or null if no upstream has a positive weight. */
-    fun next(route: TrafficRoute): UpstreamId? {
+    fun next(route: TrafficRoute): UpstreamId? = next(route) { creditsByRoute.getOrPut(route.id) { HashMap() } }
+
+    /** Returns the upstream that [next] would return, without using its turn. */
+    fun peek(route: TrafficRoute): UpstreamId? = next(route) { HashMap(creditsByRoute[route.id].orEmpty()) }
+
+    private inline fun next(
+        route: TrafficRoute,
+        creditsOf: () -> MutableMap<UpstreamId, Double>,
+    ): UpstreamId? {
         val upstreams = route.weightedUpstreams.filter { it.weight > 0 }
         if (upstreams.size <= 1) return upstreams.firstOrNull()?.upstream
-        val credits = creditsByRoute.getOrPut(route.id) { HashMap() }
+        val credits = creditsOf()
         credits.keys.retainAll(upstreams.mapTo(HashSet()) { it.upstream })
         val total = upstreams.sumOf(WeightedUpstream::weight)
         upstreams.forEach { credits.merge(it.upstream, it.weight, Double::plus) }
@@ -25,13 +33,4 @@
         credits.merge(chosen, -total, Double::plus)
         return chosen
     }
-
-    /** Returns the upstream that [next] would return, without using its turn. */
-    fun peek(route: TrafficRoute): UpstreamId? {
-        val credits = creditsByRoute[route.id].orEmpty()
-        return route.weightedUpstreams
-            .filter { it.weight > 0 }
-            .maxByOrNull { (credits[it.upstream] ?: 0.0) + it.weight }
-            ?.upstream
-    }
 }
