--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 rm -rf target/review-2
 mkdir -p target/review-2
-javac -d target/review-2 review/stand2/*.java
+javac -d target/review-2 review/6/stand2/*.java review/6/Case6.java review/7/Case7.java review/8/Case8.java review/10/Case10.java
