Give connections a shared buffer instead of whole bodies

Cause: Undertow's connection refers to the buffers of its last gathering write until its next response (HttpResponseConduit.writevBuffer), and the host gave it the whole body as one buffer. In a heap dump of the case 659 of 662 large arrays, 58.1 of 59.0 MB, are reachable through that field alone. Ruled out: other paths to the arrays (none), wrong counting of slow readers (all read whole).

Change: TransferBuffer copies bodies through one buffer a thread; BodyWriter refers to a body until its last byte is written or the connection is closed; SlowReaders counts unwritten bodies on all ports. A connection now refers to the shared buffer, whatever it has carried, so that what is counted is what is held.

--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
@@ -15,6 +15,7 @@
 import io.kumquatmill.gateway.peer.PeerMessage
 import io.kumquatmill.gateway.peer.PeerSocket
 import io.kumquatmill.gateway.relay.RelayHandler
+import io.kumquatmill.gateway.response.SlowReaders
 import io.kumquatmill.gateway.settings.GatewaySettings
 import io.kumquatmill.gateway.store.EventLoopStoreClient
 import io.kumquatmill.gateway.store.HostRegistration
@@ -85,6 +86,7 @@
         )
     private val httpClient = EventLoopHttpClient(loop, bufferPool, clock, onConnectionNeeded = metrics::countConnection)
     private val loanWaiters = LoanWaiters()
+    private val slowReaders = SlowReaders(clock, metrics, RequestLog())
     private val callerHandler =
         CallerHandler(
             CallerContext(
@@ -180,6 +182,7 @@
             DirectoryHandler(settings, adapter, controller, metrics, clock, log) { isServing },
             PeerHandler(relayHandler, ExplainHandler(settings.self.host, controller, clock), cache, sharedWatch::changesAfter),
             metrics,
+            slowReaders,
         ) { isServing }
     private var lastReader: String? = null
     private var isDraining = false
@@ -245,6 +248,7 @@
         controller.tick(nowMs)
         httpClient.closeExpiredConnections()
         callerHandler.tick()
+        slowReaders.tick()
         metrics.setLimitedWorkers(controller.limitedWorkers)
         metrics.setUsedSharedLoads(controller.usedSharedLoads)
         metrics.setQuarantinedRequests(controller.quarantinedRequests)
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/GatewayServers.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/GatewayServers.kt
@@ -2,6 +2,7 @@
 
 import io.kumquatmill.common.fleet.HostAddress
 import io.kumquatmill.gateway.metrics.GatewayMetrics
+import io.kumquatmill.gateway.response.SlowReaders
 import io.kumquatmill.gateway.settings.GatewaySettings
 import io.undertow.Undertow
 import io.undertow.UndertowOptions
@@ -22,6 +23,7 @@
     directoryHandler: HttpHandler,
     peerHandler: HttpHandler,
     private val metrics: GatewayMetrics,
+    private val slowReaders: SlowReaders,
     private val isServing: () -> Boolean,
 ) {
     private val internalServer =
@@ -64,7 +66,7 @@
                 .setType(Undertow.ListenerType.HTTP)
                 .setHost(address.ip)
                 .setPort(address.port)
-                .setRootHandler(handler),
+                .setRootHandler(slowReaders.countingResponses(handler)),
         )
 
     private fun handleReadiness(exchange: HttpServerExchange) {
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/HttpResponses.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/HttpResponses.kt
@@ -1,8 +1,8 @@
 package io.kumquatmill.gateway
 
+import io.kumquatmill.gateway.response.sendBody
 import io.undertow.server.HttpServerExchange
 import io.undertow.util.Headers
-import java.nio.ByteBuffer
 
 private val emptyObject = "{}".toByteArray()
 
@@ -14,6 +14,5 @@
 ) {
     statusCode = status
     responseHeaders.put(Headers.CONTENT_TYPE, contentType)
-    responseContentLength = body.size.toLong()
-    responseSender.send(ByteBuffer.wrap(body))
+    sendBody(body)
 }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerHandler.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerHandler.kt
@@ -46,8 +46,7 @@
             ::hasRequestsAhead,
             onIdleClosed = { context.metrics.countClosedIdleConnections(it) },
         )
-    private val slowCallers = SlowCallers(context.clock, context.metrics, context.log)
-    private val pipelines = PipelineContext(ReadAheadLimit(), context.metrics, context.log, slowCallers, { isDraining }, ::openAhead)
+    private val pipelines = PipelineContext(ReadAheadLimit(), context.metrics, context.log, { isDraining }, ::openAhead)
     private var drainSchedule: DrainSchedule? = null
 
     /** Whether this host is stopping and closes each connection after its response. */
@@ -63,11 +62,8 @@
         drainSchedule = schedule
     }
 
-    /** Notes how much callers have read of their responses; called several times a second. */
-    fun tick() {
-        slowCallers.tick()
-        pipelines.limit.notifyWaiting()
-    }
+    /** Reads ahead on connections that have waited for room; called several times a second. */
+    fun tick() = pipelines.limit.notifyWaiting()
 
     override fun handleRequest(exchange: HttpServerExchange) {
         connections.onRequest(exchange)
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerPipeline.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerPipeline.kt
@@ -17,7 +17,6 @@
     val limit: ReadAheadLimit,
     val metrics: GatewayMetrics,
     val log: RequestLog,
-    val slowCallers: SlowCallers,
     val isDraining: () -> Boolean,
     val open: (pipeline: CallerPipeline, head: ReceivedHead) -> PipelinedRequest?,
 )
@@ -38,7 +37,6 @@
     private val reader = PipelineReader(connection, limit, onBytes = { startRequests() }, onEndOfStream = { onDisconnected() })
     private val started = ArrayDeque<StartedRequest>()
     private var current: PipelinedRequest? = null
-    private var sending: HttpServerExchange? = null
 
     /** Size in bytes of the heads of the [started] requests, which are the first bytes that [reader] gets. */
     private var startedHeadBytes = 0
@@ -91,23 +89,12 @@
     /** Ends reading, and cancels the requests behind [exchange] if its response is the last one. Must be called before it is sent. */
     fun beforeResponse(exchange: HttpServerExchange) {
         current = null
-        sending = null
         stopReading()
         // Requests that were sent to a worker are answered before the connection is closed.
         if (context.isDraining() && started.isEmpty()) exchange.isPersistent = false
         if (!exchange.isPersistent) cancelStarted(CONNECTION_CLOSED)
     }
 
-    /** Counts the body of [bytes] that is being sent on [exchange] until the caller has read it. */
-    fun onSending(
-        exchange: HttpServerExchange,
-        bytes: Int,
-    ) {
-        if (exchange.isComplete) return
-        sending = exchange
-        context.slowCallers.add(exchange, bytes)
-    }
-
     /** Returns the request that was started for [head], which the server has read as the next one, or null to serve it as any other. */
     fun take(head: ReceivedHead): PipelinedRequest? {
         val next = started.removeFirstOrNull() ?: return null
@@ -153,8 +140,6 @@
     fun onClosed() {
         current = null
         stopReading()
-        sending?.let { context.slowCallers.remove(it) }
-        sending = null
         cancelStarted(CALLER_LEFT)
     }
 
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerRequest.kt
@@ -1,6 +1,8 @@
 package io.kumquatmill.gateway.caller
 
 import io.kumquatmill.gateway.log.RequestIdentity
+import io.kumquatmill.gateway.response.closeConnection
+import io.kumquatmill.gateway.response.sendBody
 import io.kumquatmill.traffic.control.AttemptResult
 import io.kumquatmill.traffic.control.RequestAction
 import io.kumquatmill.traffic.control.RouteResolution
@@ -188,7 +190,6 @@
         pipeline.beforeResponse(open)
         if (open.isComplete) return
         response.respond(open)
-        pipeline.onSending(open, response.bodyBytes)
     }
 
     /** Ends the request when the caller's deadline or the route's timeout has passed. */
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/relay/RelayHandler.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/relay/RelayHandler.kt
@@ -5,12 +5,10 @@
 import io.kumquatmill.common.time.MonotonicClock
 import io.kumquatmill.gateway.caller.DisconnectWatch
 import io.kumquatmill.gateway.caller.HttpHeaderNames
-import io.kumquatmill.gateway.caller.closeConnection
 import io.kumquatmill.gateway.caller.endToEndHeaders
 import io.kumquatmill.gateway.caller.identityFlaw
 import io.kumquatmill.gateway.caller.parseWorkerWord
 import io.kumquatmill.gateway.caller.rawTarget
-import io.kumquatmill.gateway.caller.sendBody
 import io.kumquatmill.gateway.http.CallResult
 import io.kumquatmill.gateway.http.EventLoopHttpClient
 import io.kumquatmill.gateway.http.HttpCall
@@ -19,6 +17,8 @@
 import io.kumquatmill.gateway.log.AnswerSummary
 import io.kumquatmill.gateway.log.RequestLog
 import io.kumquatmill.gateway.metrics.GatewayMetrics
+import io.kumquatmill.gateway.response.closeConnection
+import io.kumquatmill.gateway.response.sendBody
 import io.kumquatmill.traffic.control.TrafficController
 import io.kumquatmill.traffic.crash.ProbeResult
 import io.kumquatmill.traffic.crash.RequestFingerprint
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/UnreadResponses.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/response/UnreadResponses.kt
@@ -1,4 +1,4 @@
-package io.kumquatmill.gateway.caller
+package io.kumquatmill.gateway.response
 
 /**
  * Responses that callers have not read completely, and the decision which callers read too slowly to be kept.
@@ -23,6 +23,10 @@
     var totalBytes = 0L
         private set
 
+    /** Number of responses that are not read completely. */
+    val count: Int
+        get() = responses.size
+
     /** Whether the callers that read slowest must give way. */
     val isExceeded: Boolean
         get() = totalBytes > maxBytes
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/caller/CallerPipelineTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/caller/CallerPipelineTest.kt
@@ -34,9 +34,8 @@
     private val events = ArrayList<String>()
     private val limit = ReadAheadLimit(maxHostBytes = 2_000)
     private val metrics = GatewayMetrics()
-    private val slowCallers = SlowCallers(MonotonicClock.system, metrics, RequestLog())
     private val context =
-        PipelineContext(limit, metrics, RequestLog(), slowCallers, { false }) { pipeline, head ->
+        PipelineContext(limit, metrics, RequestLog(), { false }) { pipeline, head ->
             if (head.path == "/broken") events += "broken"
             if (head.path == "/refused") refusedRequest(pipeline, head) else Request(head)
         }
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/caller/UnreadResponsesTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/response/UnreadResponsesTest.kt
@@ -1,4 +1,4 @@
-package io.kumquatmill.gateway.caller
+package io.kumquatmill.gateway.response
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
