Close connections behind their last response only when their peers have

Cause: Undertow closes the connection behind its last response as soon as another byte is read, and the operating system then resets it and drops what the caller has not read. Resets came within 30 to 55 ms of the request, seconds before the process ended, which rules out its end as the cause; the log has them as answered. The same happens without a stop: Connection: close, HTTP/1.0, relayed responses, idle connections closed for room.

Change: LingeringClose ends the sending side, reads and drops what still comes, and closes when the peer has, within limits of time, bytes and number. It is around the handlers of all ports, and of kumquatmilld.

--- a/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/Daemon.kt
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/Daemon.kt
@@ -104,16 +104,24 @@
      */
     fun stop(): Boolean {
         val deadlineAtMs = clock.nowMs() + settings.limits.stopTimeoutMs
+        callerHandler.isStopping = true
         loop.putResult(NodeEvent.StopRequested)
         val hasNodeExited = nodeExited.await(settings.limits.stopTimeoutMs, TimeUnit.MILLISECONDS)
-        val isStopped = hasNodeExited && awaitResponsesSent(deadlineAtMs)
+        val isStopped = hasNodeExited && awaitResponsesDelivered(deadlineAtMs)
         if (!isStopped) logger.error { "the node did not stop within ${settings.limits.stopTimeoutMs} ms; requests may be interrupted" }
         close()
         return isStopped
     }
 
-    private fun awaitResponsesSent(deadlineAtMs: Long): Boolean {
-        while (callerHandler.activeExchangeCount > 0 && clock.nowMs() < deadlineAtMs) Thread.sleep(STOP_POLL_INTERVAL_MS)
+    /** Waits until all responses are sent, and read by callers that have closed their connections; returns whether all are sent. */
+    private fun awaitResponsesDelivered(deadlineAtMs: Long): Boolean {
+        var idlePolls = 0
+        // The end of an exchange and the wait for its caller are two steps of another thread.
+        while (idlePolls < 2 && clock.nowMs() < deadlineAtMs) {
+            val isIdle = callerHandler.activeExchangeCount == 0 && server.lingeringCount == 0
+            idlePolls = if (isIdle) idlePolls + 1 else 0
+            Thread.sleep(STOP_POLL_INTERVAL_MS)
+        }
         return callerHandler.activeExchangeCount == 0
     }
 
@@ -157,6 +165,7 @@
         metrics.registerQueueDepth("log") { decisionLog.queuedLines }
         metrics.registerQueueDepth("peer-sends") { transport.queuedMessages }
         metrics.registerQueueDepth("pending-requests") { pendingRequests.size }
+        metrics.registerQueueDepth("lingering-connections") { server.lingeringCount }
         metrics.registerDropCount("log") { decisionLog.droppedLines }
         metrics.registerDropCount("peers") { droppedPeerMessages.sum() }
         metrics.registerDropCount("store") { storeCalls.rejectedCalls }
--- a/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/CallerHandler.kt
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/CallerHandler.kt
@@ -43,6 +43,10 @@
 ) : HttpHandler {
     private val activeExchanges = AtomicInteger()
 
+    /** Whether each connection is closed behind its next response. */
+    @Volatile
+    var isStopping = false
+
     /** Number of admitted requests whose response has not been sent completely. */
     val activeExchangeCount: Int
         get() = activeExchanges.get()
@@ -161,6 +165,7 @@
     ) {
         disconnectWatch.stop()
         if (exchange.isComplete) return
+        if (isStopping) exchange.isPersistent = false
         closeIfNotReceived(exchange)
         exchange.send(response)
     }
--- a/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/CallerServer.kt
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/CallerServer.kt
@@ -1,6 +1,7 @@
 package io.kumquatmill.daemon.caller
 
 import io.kumquatmill.common.fleet.HostAddress
+import io.kumquatmill.gateway.closing.LingeringClose
 import io.kumquatmill.settings.RequestLimits
 import io.undertow.Undertow
 import io.undertow.UndertowOptions
@@ -31,6 +32,7 @@
             RequestLimit(OPERATOR_THREADS, MAX_QUEUED_OPERATOR_REQUESTS),
             BlockingHandler(Http4kUndertowHttpHandler(operatorRoutes)),
         )
+    private val lingeringClose = LingeringClose(limits.maxConnections) { }
     private val undertow =
         Undertow
             .builder()
@@ -46,15 +48,16 @@
             .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, limits.headTimeoutMs.toInt())
             .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, limits.idleTimeoutMs.toInt())
             .setServerOption(UndertowOptions.ENABLE_HTTP2, false)
-            .setHandler { exchange ->
-                if (exchange.requestPath in
-                    operatorPaths
-                ) {
-                    operatorHandler.handleRequest(exchange)
-                } else {
-                    callerHandler.handleRequest(exchange)
-                }
-            }.build()
+            .setHandler(
+                lingeringClose.around { exchange ->
+                    val handler = if (exchange.requestPath in operatorPaths) operatorHandler else callerHandler
+                    handler.handleRequest(exchange)
+                },
+            ).build()
+
+    /** Number of connections that wait for callers to close them behind the last response. */
+    val lingeringCount: Int
+        get() = lingeringClose.count
 
     fun start() = undertow.start()
 
--- a/kumquatmill-daemon/src/test/kotlin/io/kumquatmill/daemon/DaemonTest.kt
+++ b/kumquatmill-daemon/src/test/kotlin/io/kumquatmill/daemon/DaemonTest.kt
@@ -6,6 +6,7 @@
 import io.kumquatmill.node.event.NodeEvent
 import io.kumquatmill.settings.DaemonSettings
 import io.kumquatmill.settings.loadSettings
+import java.net.InetSocketAddress
 import java.net.Socket
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
@@ -201,6 +202,37 @@
         assertTrue(response.endsWith("whole"), response)
     }
 
+    /** Guards against a response that is cut by a reset, because its caller sends more behind it while the daemon closes the connection. */
+    @Test
+    fun `a stop cuts no response that is read slowly while more is sent behind it`() {
+        val isRunning = CountDownLatch(1)
+        val release = CountDownLatch(1)
+        startDaemon {
+            isRunning.countDown()
+            release.await(TIMEOUT_S, TimeUnit.SECONDS)
+            it.response(body = "x".repeat(LARGE_RESPONSE_BYTES))
+        }
+        Socket().use { socket ->
+            socket.receiveBufferSize = 4_096
+            socket.soTimeout = TIMEOUT_S.toInt() * 1_000
+            socket.connect(InetSocketAddress(callerAddress.ip, callerAddress.port))
+            val request = "POST /orders HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\none".toByteArray()
+            socket.getOutputStream().write(request)
+            isRunning.await(TIMEOUT_S, TimeUnit.SECONDS)
+            val stop = thread { (resources.last() as Daemon).stop() }
+            release.countDown()
+            var received = 0
+            for (part in generateSequence { socket.getInputStream().readNBytes(PART_BYTES).takeIf { it.isNotEmpty() } }) {
+                received += part.size
+                if (received in LARGE_RESPONSE_BYTES / 2..LARGE_RESPONSE_BYTES) socket.getOutputStream().write(request)
+                Thread.sleep(2)
+            }
+            socket.close()
+            stop.join()
+            assertTrue(received > LARGE_RESPONSE_BYTES, "found $received bytes")
+        }
+    }
+
     @Test
     fun `lookup, status, health and metrics endpoints respond`() {
         startDaemon { it.response() }
@@ -314,6 +346,8 @@
         const val KEY = "key-of-a-carer-1234"
         const val MAX_BODY_BYTES = 1_000
         const val QUEUE_CAPACITY = 4
+        const val LARGE_RESPONSE_BYTES = 1_000_000
+        const val PART_BYTES = 10_000
         const val TIMEOUT_S = 5L
 
         /** 2 s were too short for a request to reach the worker while other processes took the cores. */
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/Gateway.kt
@@ -5,6 +5,8 @@
 import io.kumquatmill.gateway.caller.CallerHandler
 import io.kumquatmill.gateway.caller.DrainSchedule
 import io.kumquatmill.gateway.caller.LoanWaiters
+import io.kumquatmill.gateway.closing.LingeringClose
+import io.kumquatmill.gateway.closing.LingeringEnd
 import io.kumquatmill.gateway.explain.ExplainHandler
 import io.kumquatmill.gateway.http.EventLoopHttpClient
 import io.kumquatmill.gateway.log.EventLog
@@ -87,6 +89,7 @@
     private val httpClient = EventLoopHttpClient(loop, bufferPool, clock, onConnectionNeeded = metrics::countConnection)
     private val loanWaiters = LoanWaiters()
     private val slowReaders = SlowReaders(clock, metrics, RequestLog())
+    private val lingeringClose = LingeringClose(settings.maxCallerConnections, ::onLingeringEnded)
     private val callerHandler =
         CallerHandler(
             CallerContext(
@@ -98,6 +101,7 @@
                 metrics,
                 loanWaiters,
                 settings.maxCallerConnections,
+                lingeringClose,
                 settings.peerStateAddress.port,
             ),
         )
@@ -183,6 +187,7 @@
             PeerHandler(relayHandler, ExplainHandler(settings.self.host, controller, clock), cache, sharedWatch::changesAfter),
             metrics,
             slowReaders,
+            lingeringClose,
         ) { isServing }
     private var lastReader: String? = null
     private var isDraining = false
@@ -193,6 +198,10 @@
     private val openRequestCount: Int
         get() = callerHandler.activeRequestCount + relayHandler.activeCount
 
+    /** Whether all responses are written, and read by callers that have closed their connections behind the last one. */
+    private val areResponsesDelivered: Boolean
+        get() = openRequestCount == 0 && slowReaders.unwrittenCount == 0 && lingeringClose.count == 0
+
     private val isServing: Boolean
         get() = isCallerListenerOpen && controller.isReady && !isDraining
 
@@ -228,15 +237,22 @@
     }
 
     /**
-     * Completes the stop once all requests are answered, or shortly before the stop timeout. Callers cache directory responses, so
-     * connections are accepted until few callers can still hold an old response.
+     * Completes the stop once all responses are delivered, or shortly before the stop timeout: the end of the process closes all
+     * connections. Callers cache directory responses, so connections are accepted until few callers can still hold an old response.
      */
     private fun awaitDrained(sinceMs: Long) {
         val elapsedMs = clock.nowMs() - sinceMs
-        val isDrained = elapsedMs >= settings.stopTimeoutMs * MIN_DRAIN_FRACTION && openRequestCount == 0
-        if (isDrained || elapsedMs >= settings.stopTimeoutMs - DrainSchedule.EXIT_MARGIN_MS) {
-            log.info("host stopped", "openRequests" to openRequestCount, "afterMs" to elapsedMs)
-            stopped.complete(openRequestCount == 0)
+        val isRefusing = elapsedMs >= settings.stopTimeoutMs * MIN_DRAIN_FRACTION
+        if (isRefusing) closeCallerListener()
+        if ((isRefusing && areResponsesDelivered) || elapsedMs >= settings.stopTimeoutMs - DrainSchedule.EXIT_MARGIN_MS) {
+            log.info(
+                "host stopped",
+                "openRequests" to openRequestCount,
+                "unwrittenResponses" to slowReaders.unwrittenCount,
+                "lingeringConnections" to lingeringClose.count,
+                "afterMs" to elapsedMs,
+            )
+            stopped.complete(openRequestCount == 0 && slowReaders.unwrittenCount == 0)
         } else {
             runAfter(STOP_POLL_MS) { awaitDrained(sinceMs) }
         }
@@ -249,6 +265,7 @@
         httpClient.closeExpiredConnections()
         callerHandler.tick()
         slowReaders.tick()
+        metrics.setLingeringConnections(lingeringClose.count)
         metrics.setLimitedWorkers(controller.limitedWorkers)
         metrics.setUsedSharedLoads(controller.usedSharedLoads)
         metrics.setQuarantinedRequests(controller.quarantinedRequests)
@@ -276,6 +293,13 @@
         }
     }
 
+    /** Closes the caller listener on a separate thread, because closing it may wait for the event loop. */
+    private fun closeCallerListener() {
+        if (!isCallerListenerOpen) return
+        isCallerListenerOpen = false
+        thread(name = "close", isDaemon = true) { servers.closeCallerListener() }
+    }
+
     private fun sendLoanRequest(request: LoanRequest) {
         val lender = controller.peers().find { it.host == request.lender } ?: return
         peerSocket.send(PeerMessage(loanRequest = request), listOf(lender.ip))
@@ -310,6 +334,11 @@
         peerSynchronizer.sendReportSoon(::runAfter)
     }
 
+    private fun onLingeringEnded(end: LingeringEnd) {
+        metrics.countLingeringEnd(end)
+        if (end != LingeringEnd.PEER) log.info("lingering connection closed", "reason" to end.wireName, "others" to lingeringClose.count)
+    }
+
     private fun onPauseChange(change: PauseChange) {
         metrics.countPause()
         log.info(
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/GatewayServers.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/GatewayServers.kt
@@ -1,6 +1,7 @@
 package io.kumquatmill.gateway
 
 import io.kumquatmill.common.fleet.HostAddress
+import io.kumquatmill.gateway.closing.LingeringClose
 import io.kumquatmill.gateway.metrics.GatewayMetrics
 import io.kumquatmill.gateway.response.SlowReaders
 import io.kumquatmill.gateway.settings.GatewaySettings
@@ -24,6 +25,7 @@
     peerHandler: HttpHandler,
     private val metrics: GatewayMetrics,
     private val slowReaders: SlowReaders,
+    private val lingeringClose: LingeringClose,
     private val isServing: () -> Boolean,
 ) {
     private val internalServer =
@@ -41,6 +43,9 @@
     /** Opens the caller listener. Until then connections are refused, so that a caller tries another host at once. */
     fun openCallerListener() = callerServer.start()
 
+    /** Closes the caller listener: connections are refused again, and those that are open go on. */
+    fun closeCallerListener() = callerServer.stop()
+
     private fun builder(): Undertow.Builder =
         Undertow
             .builder()
@@ -66,7 +71,7 @@
                 .setType(Undertow.ListenerType.HTTP)
                 .setHost(address.ip)
                 .setPort(address.port)
-                .setRootHandler(slowReaders.countingResponses(handler)),
+                .setRootHandler(lingeringClose.around(slowReaders.countingResponses(handler))),
         )
 
     private fun handleReadiness(exchange: HttpServerExchange) {
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerConnections.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerConnections.kt
@@ -1,18 +1,20 @@
 package io.kumquatmill.gateway.caller
 
+import io.kumquatmill.gateway.closing.LingeringClose
 import io.undertow.server.HttpServerExchange
 import io.undertow.server.ServerConnection
-import org.xnio.IoUtils
 
 /**
- * Closes idle connections of callers as [OpenConnections] decides. Must be used on the event loop only.
+ * Closes idle connections of callers as [OpenConnections] decides. They linger within what open connections leave of [maxOpen], and in an
+ * eighth of it besides. Must be used on the event loop only.
  *
  * @param hasRequestsAhead returns whether a connection has requests that were read ahead and are not answered
  * @param onIdleClosed called with the number of idle connections that were closed
  */
 internal class CallerConnections(
-    maxOpen: Int,
+    private val maxOpen: Int,
     hasRequestsAhead: (ServerConnection) -> Boolean,
+    private val lingeringClose: LingeringClose,
     private val onIdleClosed: (closed: Int) -> Unit,
 ) {
     private val connections = OpenConnections(maxOpen, hasRequestsAhead)
@@ -24,15 +26,20 @@
             connection.addCloseListener { connections.onClosed(connection) }
             closeExcessIdle()
         }
-        exchange.addExchangeCompleteListener { _, next ->
-            connections.onRequestCompleted(connection, connection.isOpen)
+        exchange.addExchangeCompleteListener { ended, next ->
+            connections.onRequestCompleted(connection, isOpen = connection.isOpen && ended.isPersistent)
             next.proceed()
         }
     }
 
     private fun closeExcessIdle() {
+        lingeringClose.closeOldest(connections.openCount + lingeringClose.count - maxOpen - maxOpen / LINGERING_PART)
         val excess = connections.takeExcess()
-        excess.forEach { IoUtils.safeClose(it) }
+        excess.forEach(lingeringClose::close)
         if (excess.isNotEmpty()) onIdleClosed(excess.size)
     }
+
+    private companion object {
+        const val LINGERING_PART = 8
+    }
 }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerHandler.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/caller/CallerHandler.kt
@@ -1,6 +1,7 @@
 package io.kumquatmill.gateway.caller
 
 import io.kumquatmill.common.time.MonotonicClock
+import io.kumquatmill.gateway.closing.LingeringClose
 import io.kumquatmill.gateway.http.EventLoopHttpClient
 import io.kumquatmill.gateway.log.RequestLog
 import io.kumquatmill.gateway.metrics.GatewayMetrics
@@ -20,6 +21,7 @@
  * Dependencies of request handling, all confined to one event loop.
  *
  * @property maxConnections maximum number of open caller connections
+ * @property lingeringClose closes idle connections
  * @property peerPort port at which peers take requests to pass on
  */
 class CallerContext(
@@ -31,6 +33,7 @@
     val metrics: GatewayMetrics,
     val loanWaiters: LoanWaiters,
     val maxConnections: Int,
+    val lingeringClose: LingeringClose,
     val peerPort: Int,
 )
 
@@ -44,6 +47,7 @@
         CallerConnections(
             context.maxConnections,
             ::hasRequestsAhead,
+            context.lingeringClose,
             onIdleClosed = { context.metrics.countClosedIdleConnections(it) },
         )
     private val pipelines = PipelineContext(ReadAheadLimit(), context.metrics, context.log, { isDraining }, ::openAhead)
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/metrics/GatewayMetrics.kt
@@ -1,5 +1,6 @@
 package io.kumquatmill.gateway.metrics
 
+import io.kumquatmill.gateway.closing.LingeringEnd
 import io.kumquatmill.gateway.http.ConnectionNeed
 import io.kumquatmill.gateway.log.resultName
 import io.kumquatmill.gateway.store.SharedWatch
@@ -36,6 +37,7 @@
     private val cutOff = AtomicInteger().also { registry.gauge("kumquatmill.cut.off", it) }
     private val storeEra = AtomicLong().also { registry.gauge("kumquatmill.store.era", it) }
     private val unreadResponseBytes = AtomicLong().also { registry.gauge("kumquatmill.responses.unread.bytes", it) }
+    private val lingeringConnections = AtomicInteger().also { registry.gauge("kumquatmill.connections.lingering", it) }
     private val storeAnswerAgeMs = AtomicLong()
     private val durations = HashMap<String, Timer>()
 
@@ -158,6 +160,13 @@
     /** Sets the bytes of the bodies of responses that callers have not read completely. */
     fun setUnreadResponseBytes(bytes: Long) = unreadResponseBytes.set(bytes)
 
+    /** Sets the number of connections that wait for their peers to close them behind the last response. */
+    fun setLingeringConnections(count: Int) = lingeringConnections.set(count)
+
+    /** Counts a connection that has waited for its peer to close it, by the reason of its [end]. */
+    fun countLingeringEnd(end: LingeringEnd) =
+        registry.counter("kumquatmill.connections.lingering.ended", "reason", end.wireName).increment()
+
     /** Counts a caller's connection that was closed because the caller read its response slowest while responses took too much memory. */
     fun countClosedSlowCaller() = registry.counter("kumquatmill.callers.closed.slow").increment()
 
--- a/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/caller/CallerPipelineTest.kt
+++ b/kumquatmill-gateway/src/test/kotlin/io/kumquatmill/gateway/caller/CallerPipelineTest.kt
@@ -2,6 +2,7 @@
 
 import io.kumquatmill.common.id.RouteId
 import io.kumquatmill.common.time.MonotonicClock
+import io.kumquatmill.gateway.closing.LingeringClose
 import io.kumquatmill.gateway.http.EventLoopHttpClient
 import io.kumquatmill.gateway.log.RequestLog
 import io.kumquatmill.gateway.metrics.GatewayMetrics
@@ -67,7 +68,7 @@
         val controller = TrafficController(EntryHostInfo("h1", "127.0.0.1", "r", "z"), settings)
         val names = HttpHeaderNames("id", "d", "a", "w", "e", "l", "m", "n", "p")
         val client = EventLoopHttpClient(worker.ioThread, pool, clock)
-        val callers = CallerContext(names, controller, client, clock, RequestLog(), metrics, LoanWaiters(), 10, 1)
+        val callers = CallerContext(names, controller, client, clock, RequestLog(), metrics, LoanWaiters(), 10, LingeringClose(1) { }, 1)
         val route = TrafficRoute(RouteId("r"), "h", "/", emptyList(), true, true, false, null, 300, 1, 0, emptySet())
         return CallerRequest(callers, pipeline, head, "x", ByteArray(0), RouteResolution.Resolved(route, null)) { events += "finished" }
     }
