Let idle connections of kumquatmilld hold no responses

Change: kumquatmilld writes with BodyWriter. What lingering connections send is dropped through the transfer buffer too, instead of a second buffer a thread.

--- a/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/Exchanges.kt
+++ b/kumquatmill-daemon/src/main/kotlin/io/kumquatmill/daemon/caller/Exchanges.kt
@@ -1,5 +1,6 @@
 package io.kumquatmill.daemon.caller
 
+import io.kumquatmill.gateway.response.BodyWriter
 import io.undertow.server.HttpServerExchange
 import io.undertow.util.HttpString
 import org.http4k.core.Headers
@@ -7,6 +8,7 @@
 import org.http4k.core.Request
 import org.http4k.core.Response
 import java.nio.ByteBuffer
+import io.undertow.util.Headers as UndertowHeaders
 
 private val methodsByName = Method.entries.associateBy { it.name }
 
@@ -21,11 +23,16 @@
 internal fun HttpServerExchange.send(response: Response) {
     statusCode = response.status.code
     response.headers.forEach { (name, value) -> responseHeaders.add(HttpString(name), value.orEmpty()) }
-    responseSender.send(
+    val body =
         response.body.payload
             .duplicate()
-            .toBytes(),
-    )
+            .toBytes()
+    if (responseContentLength < 0 &&
+        !responseHeaders.contains(UndertowHeaders.TRANSFER_ENCODING)
+    ) {
+        responseContentLength = body.size.toLong()
+    }
+    BodyWriter(this, body) { }.start()
 }
 
 /** Removes scheme and authority from a request target in absolute form. */
@@ -40,4 +47,4 @@
 private fun headersOf(exchange: HttpServerExchange): Headers =
     exchange.requestHeaders.flatMap { values -> values.map { values.headerName.toString() to it } }
 
-private fun ByteBuffer.toBytes(): ByteBuffer = ByteBuffer.wrap(ByteArray(remaining()).also { get(it) })
+private fun ByteBuffer.toBytes(): ByteArray = ByteArray(remaining()).also { get(it) }
--- a/kumquatmill-daemon/src/test/kotlin/io/kumquatmill/daemon/DaemonTest.kt
+++ b/kumquatmill-daemon/src/test/kotlin/io/kumquatmill/daemon/DaemonTest.kt
@@ -6,6 +6,7 @@
 import io.kumquatmill.node.event.NodeEvent
 import io.kumquatmill.settings.DaemonSettings
 import io.kumquatmill.settings.loadSettings
+import java.lang.management.ManagementFactory
 import java.net.InetSocketAddress
 import java.net.Socket
 import java.util.concurrent.CountDownLatch
@@ -233,6 +234,32 @@
         }
     }
 
+    /** Guards against memory that fills with responses that idle connections hold although they were written completely. */
+    @Test
+    fun `idle connections hold no responses`() {
+        startDaemon { it.response(body = "x".repeat(LARGE_RESPONSE_BYTES)) }
+
+        fun openIdle(count: Int) =
+            repeat(count) {
+                val socket = Socket(callerAddress.ip, callerAddress.port).also { resources.add(0, it) }
+                socket.soTimeout = TIMEOUT_S.toInt() * 1_000
+                socket.getOutputStream().write("POST /orders HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\none".toByteArray())
+                var received = 0
+                while (received < LARGE_RESPONSE_BYTES) received += socket.getInputStream().readNBytes(PART_BYTES).size
+            }
+        openIdle(10)
+        val before = usedHeapBytes()
+        openIdle(20)
+        val held = usedHeapBytes() - before
+        assertTrue(held < 5 * LARGE_RESPONSE_BYTES, "20 more idle connections hold $held bytes")
+    }
+
+    private fun usedHeapBytes(): Long {
+        val memory = ManagementFactory.getMemoryMXBean()
+        repeat(2) { memory.gc() }
+        return memory.heapMemoryUsage.used
+    }
+
     @Test
     fun `lookup, status, health and metrics endpoints respond`() {
         startDaemon { it.response() }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/closing/LingeringClose.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/closing/LingeringClose.kt
@@ -1,12 +1,12 @@
 package io.kumquatmill.gateway.closing
 
+import io.kumquatmill.gateway.http.TransferBuffer
 import io.undertow.server.AbstractServerConnection
 import io.undertow.server.HttpHandler
 import io.undertow.server.ServerConnection
 import org.xnio.IoUtils
 import org.xnio.XnioExecutor
 import java.io.IOException
-import java.nio.ByteBuffer
 import java.util.concurrent.TimeUnit
 
 /** Why a lingering connection was closed. */
@@ -103,10 +103,9 @@
 
         /** Reads once for each time that the connection is readable, so that a fast sender leaves the event loop to others. */
         private fun drop() {
-            val buffer = buffers.get().clear()
             val count =
                 try {
-                    source.read(buffer)
+                    TransferBuffer.drop(source)
                 } catch (_: IOException) {
                     END_OF_STREAM
                 }
@@ -124,10 +123,8 @@
 
     private companion object {
         const val END_OF_STREAM = -1
-        const val BUFFER_BYTES = 64 * 1024
 
         /** Time in which a peer with a slow link reads a response from the operating system's buffers. */
         const val MAX_DURATION_MS = 10_000L
-        val buffers: ThreadLocal<ByteBuffer> = ThreadLocal.withInitial { ByteBuffer.allocateDirect(BUFFER_BYTES) }
     }
 }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/TransferBuffer.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/http/TransferBuffer.kt
@@ -1,11 +1,12 @@
 package io.kumquatmill.gateway.http
 
+import org.xnio.conduits.StreamSourceConduit
 import java.nio.ByteBuffer
 import java.nio.channels.WritableByteChannel
 import kotlin.math.min
 
 /**
- * Writes bytes through a buffer that all connections of a thread share.
+ * Writes and drops bytes through a buffer that all connections of a thread share.
  *
  * Undertow's connections refer to the last buffer that they were given until they write the next message. Given a whole body, an idle
  * connection keeps it in memory.
@@ -27,4 +28,7 @@
         unwritten.position(unwritten.position() + count)
         return count
     }
+
+    /** Reads what [source] has, as far as it fits into the buffer, and drops it; returns the number of bytes, or -1 at the end. */
+    fun drop(source: StreamSourceConduit): Int = source.read(buffers.get().clear())
 }
--- a/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/response/BodyWriter.kt
+++ b/kumquatmill-gateway/src/main/kotlin/io/kumquatmill/gateway/response/BodyWriter.kt
@@ -14,7 +14,7 @@
  *
  * @param onEnded called once, when the body is not referred to any more
  */
-internal class BodyWriter(
+class BodyWriter(
     val exchange: HttpServerExchange,
     body: ByteArray,
     private val onEnded: (BodyWriter) -> Unit,
